Serve a request end to end through separate processes

Cause: nothing existed to measure or to fault. The thin path has a stand-in platform and upstreams, two entries in two regions, a key check, and a configuration change that reaches both entries with a status that says when.

Limits, at-most-once, freshness and placement are not built yet.

--- /dev/null
+++ b/internal/fgcommand/standin.go
@@ -0,0 +1,69 @@
+package fgcommand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/spf13/cobra"
+
+	"github.com/filbertgap/filbertgap/internal/fgstandin"
+)
+
+func newStandin() *cobra.Command {
+	cmd := &cobra.Command{Use: "standin", Short: "Run a stand-in of an outside system, for tests"}
+	cmd.AddCommand(newStandinPlatform(), newStandinUpstream())
+	return cmd
+}
+
+func newStandinPlatform() *cobra.Command {
+	var listen string
+	cmd := &cobra.Command{
+		Use:   "platform",
+		Short: "Run the key-value service and the VM list",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var p fgstandin.Platform
+			return serveStandin(cmd, listen, p.Handler())
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:2400", "address to listen on")
+	return cmd
+}
+
+func newStandinUpstream() *cobra.Command {
+	var listen string
+	var b fgstandin.Behavior
+	cmd := &cobra.Command{
+		Use:   "upstream",
+		Short: "Run an upstream",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var u fgstandin.Upstream
+			u.SetBehavior(b)
+			return serveStandin(cmd, listen, &u)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&listen, "listen", "127.0.0.1:9000", "address to listen on")
+	f.IntVar(&b.Slots, "slots", 0, "requests run at once (0: no limit)")
+	f.Int64Var(&b.ServiceMillis, "service-millis", 0, "time that a request takes, in milliseconds")
+	return cmd
+}
+
+func serveStandin(cmd *cobra.Command, listen string, h http.Handler) error {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return fmt.Errorf("--listen: %w", err)
+	}
+	_, _ = fmt.Fprintln(cmd.OutOrStdout(), "listening on "+l.Addr().String())
+	s := &http.Server{Handler: h}
+	stop := context.AfterFunc(cmd.Context(), func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fgentry/entry.go
@@ -0,0 +1,237 @@
+package fgentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgsync"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
+	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/internal/transport/fgpeer"
+	"github.com/filbertgap/filbertgap/internal/transport/fgupstream"
+)
+
+const (
+	configKey  = "config/head"
+	membersKey = "members/head"
+
+	// readHeaderTimeout bounds how long a caller may take to send its header.
+	readHeaderTimeout = 10 * time.Second
+	// maxHeaderBytes bounds a caller's header.
+	maxHeaderBytes = 64 << 10
+	// registerRetryDelay separates attempts to register with the platform.
+	registerRetryDelay = 500 * time.Millisecond
+	// deregisterTimeout bounds the last writes of a stopping process.
+	deregisterTimeout = 2 * time.Second
+)
+
+// Entry is one entry process.
+type Entry struct {
+	settings    Settings
+	logger      logr.Logger
+	incarnation fgrequest.Incarnation
+	config      *fgsync.Replica[*fgconfig.Snapshot]
+	members     *fgsync.Replica[*fgmember.Set]
+	reports     fgmember.Reports
+	dialer      *fgpeer.Dialer
+	upstreams   *fgupstream.Client
+	listeners   listeners
+}
+
+type listeners struct {
+	caller, peer, operator, metrics net.Listener
+}
+
+// New returns an entry that uses a platform. Nothing runs before Run.
+func New(s Settings, store fgstore.Store, logger logr.Logger) *Entry {
+	return &Entry{
+		settings:    s,
+		logger:      logger,
+		incarnation: fgrequest.NewIncarnation(),
+		config: fgsync.NewReplica(fgsync.Options[*fgconfig.Snapshot]{
+			Store: store, Key: configKey, Initial: fgconfig.Empty(), Apply: fgconfig.Apply, Logger: logger,
+		}),
+		members: fgsync.NewReplica(fgsync.Options[*fgmember.Set]{
+			Store: store, Key: membersKey, Initial: fgmember.EmptySet(), Apply: fgmember.Apply, Logger: logger,
+		}),
+		dialer:    fgpeer.NewDialer(s.fleetSecret),
+		upstreams: fgupstream.New(),
+	}
+}
+
+// Listen opens the entry's ports.
+func (e *Entry) Listen() error {
+	ports := []struct {
+		name     string
+		address  string
+		listener *net.Listener
+	}{
+		{"caller-listen", e.settings.raw.CallerListen, &e.listeners.caller},
+		{"peer-listen", e.settings.raw.PeerListen, &e.listeners.peer},
+		{"operator-listen", e.settings.raw.OperatorListen, &e.listeners.operator},
+		{"metrics-listen", e.settings.raw.MetricsListen, &e.listeners.metrics},
+	}
+	for _, p := range ports {
+		l, err := net.Listen("tcp", p.address)
+		if err != nil {
+			e.closeListeners()
+			return fmt.Errorf("--%s: %w", p.name, err)
+		}
+		*p.listener = l
+	}
+	return nil
+}
+
+func (e *Entry) closeListeners() {
+	for _, l := range []net.Listener{e.listeners.caller, e.listeners.peer, e.listeners.operator, e.listeners.metrics} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// CallerAddress returns the address that callers are told to use.
+func (e *Entry) CallerAddress() string {
+	if a := e.settings.raw.CallerAdvertise; a != "" {
+		return a
+	}
+	return e.listeners.caller.Addr().String()
+}
+
+// PeerAddress returns the address that peers are told to use.
+func (e *Entry) PeerAddress() string {
+	if a := e.settings.raw.PeerAdvertise; a != "" {
+		return a
+	}
+	return e.listeners.peer.Addr().String()
+}
+
+// OperatorAddress returns the address of the operators' listener.
+func (e *Entry) OperatorAddress() string { return e.listeners.operator.Addr().String() }
+
+// MetricsAddress returns the address of the metrics listener.
+func (e *Entry) MetricsAddress() string { return e.listeners.metrics.Addr().String() }
+
+func (e *Entry) self() fgmember.Member {
+	return fgmember.Member{
+		VM:               e.settings.raw.VM,
+		Incarnation:      e.incarnation.String(),
+		Region:           e.settings.raw.Region,
+		AvailabilityZone: e.settings.raw.AvailabilityZone,
+		CallerAddress:    e.CallerAddress(),
+		PeerAddress:      e.PeerAddress(),
+	}
+}
+
+// Run serves until the context ends, then stops gracefully. Listen must have
+// succeeded before.
+func (e *Entry) Run(ctx context.Context) error {
+	e.logger.Info("entry starts", "vm", e.settings.raw.VM, "incarnation", e.incarnation.String(),
+		"caller", e.CallerAddress(), "peer", e.PeerAddress(), "operator", e.OperatorAddress())
+	// Background work outlives ctx, so that it goes on during the graceful stop.
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { _ = e.config.Run(background) })
+	wg.Go(func() { _ = e.members.Run(background) })
+	wg.Go(func() { e.exchangeLoop(background) })
+	wg.Go(func() { e.servePeers(background) })
+
+	caller := e.httpServer(e.callerHandler())
+	operator := e.httpServer(e.operatorHandler())
+	metrics := e.httpServer(e.metricsHandler())
+	failed := make(chan error, 3)
+	wg.Go(func() { failed <- serveHTTP(caller, e.listeners.caller) })
+	wg.Go(func() { failed <- serveHTTP(operator, e.listeners.operator) })
+	wg.Go(func() { failed <- serveHTTP(metrics, e.listeners.metrics) })
+	wg.Go(func() { e.register(ctx) })
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	e.stop(background, caller)
+	_ = operator.Close()
+	_ = metrics.Close()
+	return err
+}
+
+func (e *Entry) httpServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
+func serveHTTP(s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (e *Entry) servePeers(ctx context.Context) {
+	mux := drpcmux.New()
+	if err := fgwire.DRPCRegisterPeer(mux, &peerService{entry: e}); err != nil {
+		e.logger.Error(err, "register the peer service")
+		return
+	}
+	s := fgpeer.NewServer(fgpeer.ServerOptions{Secret: e.settings.fleetSecret, RPC: mux, HTTP: http.NotFoundHandler(), Logger: e.logger})
+	if err := s.Serve(ctx, e.listeners.peer); err != nil && ctx.Err() == nil {
+		e.logger.Error(err, "peer listener failed")
+	}
+}
+
+// register enters the process into the member journal. It repeats until the
+// platform accepts it.
+func (e *Entry) register(ctx context.Context) {
+	changeID := "register-" + e.incarnation.String()
+	for ctx.Err() == nil {
+		_, err := e.members.Submit(ctx, changeID, fgmember.BuildRegister(e.self()))
+		if err == nil {
+			e.logger.Info("registered", "vm", e.settings.raw.VM)
+			return
+		}
+		e.logger.Info("registration failed, will be repeated", "error", err.Error())
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerRetryDelay):
+		}
+	}
+}
+
+// stop leaves the fleet without cutting a request: the VM disappears from
+// look-ups, serves callers with cached answers, then waits for requests in
+// flight.
+func (e *Entry) stop(ctx context.Context, caller *http.Server) {
+	e.logger.Info("entry is leaving", "vm", e.settings.raw.VM)
+	e.submitQuietly(ctx, "leave-"+e.incarnation.String(), fgmember.BuildLeave(e.self()))
+	time.Sleep(e.settings.raw.DrainWait)
+	drain, cancel := context.WithTimeout(ctx, e.settings.raw.DrainTimeout)
+	defer cancel()
+	if err := caller.Shutdown(drain); err != nil {
+		e.logger.Info("requests still in flight at the drain timeout", "error", err.Error())
+		_ = caller.Close()
+	}
+	e.submitQuietly(ctx, "remove-"+e.incarnation.String(), fgmember.BuildRemove(e.self()))
+	e.logger.Info("entry stopped", "vm", e.settings.raw.VM)
+}
+
+func (e *Entry) submitQuietly(ctx context.Context, changeID string, build fgmember.Build) {
+	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
+	defer cancel()
+	if _, err := e.members.Submit(ctx, changeID, build); err != nil {
+		e.logger.Info("member record not updated", "change", changeID, "error", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/fgentry/settings.go
@@ -0,0 +1,110 @@
+// Package fgentry assembles one entry process: it serves callers, peers,
+// operators and metrics on one VM.
+package fgentry
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/transport/fgpeer"
+)
+
+// RawSettings are an entry's settings as written in flags and environment
+// variables, before they are checked.
+type RawSettings struct {
+	VM                string
+	Region            string
+	AvailabilityZone  string
+	CallerListen      string
+	CallerAdvertise   string
+	PeerListen        string
+	PeerAdvertise     string
+	OperatorListen    string
+	MetricsListen     string
+	Platform          string
+	FleetSecretFile   string
+	OperatorTokenFile string
+	DrainWait         time.Duration
+	DrainTimeout      time.Duration
+}
+
+// Settings are checked settings.
+type Settings struct {
+	raw           RawSettings
+	fleetSecret   fgpeer.Secret
+	operatorToken string
+}
+
+// Check checks all settings and reports all faults at once.
+func (r RawSettings) Check() (Settings, error) {
+	s := Settings{raw: r}
+	errs := []error{
+		required("vm", r.VM),
+		required("region", r.Region),
+		required("availability-zone", r.AvailabilityZone),
+		required("platform", r.Platform),
+		address("caller-listen", r.CallerListen),
+		address("peer-listen", r.PeerListen),
+		address("operator-listen", r.OperatorListen),
+		address("metrics-listen", r.MetricsListen),
+		optionalAddress("caller-advertise", r.CallerAdvertise),
+		optionalAddress("peer-advertise", r.PeerAdvertise),
+		loopback("operator-listen", r.OperatorListen),
+	}
+	secret, err := readSecretFile("fleet-secret-file", r.FleetSecretFile)
+	if err == nil {
+		s.fleetSecret, err = fgpeer.NewSecret([]byte(secret))
+	}
+	errs = append(errs, err)
+	s.operatorToken, err = readSecretFile("operator-token-file", r.OperatorTokenFile)
+	errs = append(errs, err)
+	return s, errors.Join(errs...)
+}
+
+func required(flag, value string) error {
+	if value == "" {
+		return fmt.Errorf("--%s is not set", flag)
+	}
+	return nil
+}
+
+func address(flag, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return fmt.Errorf("--%s is %q; accepted is an IP address and port, for example 10.0.0.5:8080", flag, value)
+	}
+	return nil
+}
+
+func optionalAddress(flag, value string) error {
+	if value == "" {
+		return nil
+	}
+	return address(flag, value)
+}
+
+func loopback(flag, value string) error {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil || a.Addr().IsLoopback() {
+		return nil
+	}
+	return fmt.Errorf("--%s is %q; without TLS, accepted is a loopback address", flag, value)
+}
+
+func readSecretFile(flag, path string) (string, error) {
+	if err := required(flag, path); err != nil {
+		return "", err
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("--%s: %w", flag, err)
+	}
+	text := strings.TrimSpace(string(data))
+	if text == "" {
+		return "", fmt.Errorf("--%s: %s is empty", flag, path)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/internal/fgstandin/upstream.go
@@ -0,0 +1,180 @@
+package fgstandin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Behavior selects how a stand-in upstream serves. The zero value answers at
+// once without limits.
+type Behavior struct {
+	// Slots is the number of requests run at once; further ones are shed. Zero
+	// means no limit.
+	Slots int `json:"slots"`
+	// ServiceMillis is the time that a request takes, in milliseconds.
+	ServiceMillis int64 `json:"serviceMillis"`
+	// ColdRequests is the number of coming requests that take ten times as long.
+	ColdRequests int `json:"coldRequests"`
+	// Draining refuses new requests.
+	Draining bool `json:"draining"`
+	// Silent accepts requests and never answers them.
+	Silent bool `json:"silent"`
+	// AnswerBytes is the size of an answer's filler.
+	AnswerBytes int `json:"answerBytes"`
+}
+
+// Observed is what an upstream saw of one request.
+type Observed struct {
+	Method    string      `json:"method"`
+	Path      string      `json:"path"`
+	Query     string      `json:"query"`
+	Header    http.Header `json:"header"`
+	Body      string      `json:"body"`
+	Workspace string      `json:"workspace"`
+}
+
+const (
+	// HeaderNotRun vouches that a refused request did not run.
+	HeaderNotRun = "Request-Not-Run"
+
+	coldFactor      = 10
+	maxObservedBody = 64 << 10
+)
+
+// Upstream is a stand-in server. The zero value is ready to use.
+type Upstream struct {
+	mu       sync.Mutex
+	behavior Behavior
+	observed []Observed
+	running  int
+	most     int
+	shed     int
+}
+
+// SetBehavior replaces the behavior in force.
+func (u *Upstream) SetBehavior(b Behavior) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.behavior = b
+}
+
+// Observed returns the requests that ran, oldest first.
+func (u *Upstream) Observed() []Observed {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]Observed(nil), u.observed...)
+}
+
+// Most returns the largest number of requests that ran at once.
+func (u *Upstream) Most() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.most
+}
+
+// Shed returns the number of refused requests.
+func (u *Upstream) Shed() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.shed
+}
+
+// ServeHTTP runs a request or refuses it. Requests under /control/ set the
+// behavior and return what was observed.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/control/behavior":
+		u.handleBehavior(w, r)
+	case "/control/observed":
+		_ = json.NewEncoder(w).Encode(u.Observed())
+	default:
+		u.handleRequest(w, r)
+	}
+}
+
+func (u *Upstream) handleBehavior(w http.ResponseWriter, r *http.Request) {
+	var b Behavior
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	u.SetBehavior(b)
+}
+
+func (u *Upstream) handleRequest(w http.ResponseWriter, r *http.Request) {
+	b, ok := u.begin()
+	if !ok {
+		w.Header().Set(HeaderNotRun, "true")
+		http.Error(w, "no capacity", http.StatusServiceUnavailable)
+		return
+	}
+	defer u.end()
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxObservedBody))
+	if err != nil {
+		http.Error(w, "cut request", http.StatusBadRequest)
+		return
+	}
+	u.record(r, body)
+	if !wait(r, b) {
+		return
+	}
+	_, _ = fmt.Fprintf(w, "%s %s workspace=%s\n", r.Method, r.URL.Path, r.Header.Get("Filbertgap-Workspace"))
+	if b.AnswerBytes > 0 {
+		_, _ = w.Write(make([]byte, b.AnswerBytes))
+	}
+}
+
+// begin takes a slot.
+func (u *Upstream) begin() (Behavior, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	b := u.behavior
+	if b.Draining || b.Slots > 0 && u.running >= b.Slots {
+		u.shed++
+		return b, false
+	}
+	if u.behavior.ColdRequests > 0 {
+		u.behavior.ColdRequests--
+		b.ServiceMillis *= coldFactor
+	}
+	u.running++
+	u.most = max(u.most, u.running)
+	return b, true
+}
+
+func (u *Upstream) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running--
+}
+
+func (u *Upstream) record(r *http.Request, body []byte) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.observed = append(u.observed, Observed{
+		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Header: r.Header.Clone(),
+		Body: string(body), Workspace: r.Header.Get("Filbertgap-Workspace"),
+	})
+}
+
+// wait spends the service time. It reports false when the request was cancelled.
+func wait(r *http.Request, b Behavior) bool {
+	if b.Silent {
+		<-r.Context().Done()
+		return false
+	}
+	t := time.NewTimer(time.Duration(b.ServiceMillis) * time.Millisecond)
+	defer t.Stop()
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/transport/fgpeer/dialer.go
@@ -0,0 +1,62 @@
+package fgpeer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+)
+
+const (
+	dialTimeout = time.Second
+	// poolExpiration closes connections that carried nothing for a while.
+	poolExpiration = 30 * time.Second
+	poolPerPeer    = 4
+)
+
+// Dialer connects to peers and reuses drpc connections.
+type Dialer struct {
+	secret Secret
+	dialer net.Dialer
+	pool   *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewDialer returns a dialer.
+func NewDialer(secret Secret) *Dialer {
+	return &Dialer{
+		secret: secret,
+		dialer: net.Dialer{Timeout: dialTimeout},
+		pool:   drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: poolExpiration, KeyCapacity: poolPerPeer}),
+	}
+}
+
+// RPC returns a drpc connection to a peer's address. Connections are made on
+// first use and reused.
+func (d *Dialer) RPC(ctx context.Context, address string) drpc.Conn {
+	return d.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
+		c, err := d.Dial(ctx, address, ProtocolRPC)
+		if err != nil {
+			return nil, err
+		}
+		return drpcconn.New(c), nil
+	})
+}
+
+// Dial opens an authenticated connection.
+func (d *Dialer) Dial(ctx context.Context, address string, protocol Protocol) (net.Conn, error) {
+	c, err := d.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.secret.dialHandshake(c, protocol); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Close closes all idle connections.
+func (d *Dialer) Close() error { return d.pool.Close() }
--- /dev/null
+++ b/internal/transport/fgpeer/listener.go
@@ -0,0 +1,119 @@
+package fgpeer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcserver"
+)
+
+// ServerOptions configures a Server.
+type ServerOptions struct {
+	Secret Secret
+	// RPC handles drpc calls.
+	RPC drpc.Handler
+	// HTTP handles forwarded requests. Nil refuses them.
+	HTTP   http.Handler
+	Logger logr.Logger
+}
+
+// Server accepts the connections of peers.
+type Server struct {
+	options ServerOptions
+	rpc     *drpcserver.Server
+}
+
+// NewServer returns a server.
+func NewServer(o ServerOptions) *Server {
+	return &Server{options: o, rpc: drpcserver.New(o.RPC)}
+}
+
+// Serve accepts connections until the context ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	forwarded := newConnListener(l.Addr())
+	httpServer := &http.Server{Handler: s.options.HTTP, ReadHeaderTimeout: handshakeTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		_ = l.Close()
+		_ = httpServer.Close()
+		_ = forwarded.Close()
+	})
+	defer stop()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { _ = httpServer.Serve(forwarded) })
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return ctx.Err()
+			}
+			return err
+		}
+		wg.Go(func() { s.serveConn(ctx, c, forwarded) })
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, c net.Conn, forwarded *connListener) {
+	protocol, err := s.options.Secret.acceptHandshake(c)
+	if err != nil {
+		s.options.Logger.V(1).Info("peer connection refused", "remote", c.RemoteAddr().String(), "error", err.Error())
+		_ = c.Close()
+		return
+	}
+	switch protocol {
+	case ProtocolRPC:
+		_ = s.rpc.ServeOne(ctx, c)
+	case ProtocolHTTP:
+		forwarded.deliver(c)
+	default:
+		_ = c.Close()
+	}
+}
+
+// connListener hands already accepted connections to an http.Server.
+type connListener struct {
+	address net.Addr
+	conns   chan net.Conn
+	done    chan struct{}
+	once    sync.Once
+}
+
+func newConnListener(a net.Addr) *connListener {
+	return &connListener{address: a, conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+func (l *connListener) deliver(c net.Conn) {
+	select {
+	case l.conns <- c:
+	case <-l.done:
+		_ = c.Close()
+	}
+}
+
+// Accept returns the next delivered connection.
+func (l *connListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends Accept. It may be called more than once.
+func (l *connListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+// Addr returns the address of the underlying listener.
+func (l *connListener) Addr() net.Addr { return l.address }
--- /dev/null
+++ b/internal/transport/fgplatform/client.go
@@ -0,0 +1,132 @@
+// Package fgplatform is the HTTP client of the platform's key-value service
+// and VM list.
+package fgplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+)
+
+const (
+	// callTimeout bounds a call other than a watch. The service answers in
+	// milliseconds when it is well.
+	callTimeout = 2 * time.Second
+	// watchWait is how long the service holds a watch without a change. Its
+	// answer then shows that the connection is alive.
+	watchWait = time.Second
+	// watchTimeout bounds a watch call, so that a silent connection is replaced.
+	watchTimeout = watchWait + time.Second
+	// maxAnswerBytes bounds an answer; data is base64 within JSON.
+	maxAnswerBytes = 2 * fgstore.MaxValueBytes
+)
+
+// Client calls the platform over HTTP.
+type Client struct {
+	base   string
+	client *http.Client
+}
+
+var (
+	_ fgstore.Store    = (*Client)(nil)
+	_ fgstore.VMLister = (*Client)(nil)
+)
+
+// New returns a client of the service at a base URL such as
+// "http://10.0.0.1:2400".
+func New(base string) (*Client, error) {
+	u, err := url.Parse(base)
+	if err != nil {
+		return nil, fmt.Errorf("platform address: %w", err)
+	}
+	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return nil, fmt.Errorf("platform address is %q; accepted is http://HOST:PORT or https://HOST:PORT", base)
+	}
+	return &Client{base: u.Scheme + "://" + u.Host, client: &http.Client{Transport: &http.Transport{}}}, nil
+}
+
+// Get returns the value of a key.
+func (c *Client) Get(ctx context.Context, key string) (fgstore.Value, error) {
+	var v fgstore.Value
+	err := c.call(ctx, callTimeout, http.MethodGet, "/kv/"+key, nil, &v)
+	return v, err
+}
+
+// CompareAndSwap writes data if the key's revision is the expected one.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expected uint64, data []byte) (uint64, error) {
+	var v fgstore.Value
+	err := c.call(ctx, callTimeout, http.MethodPut, "/kv/"+key+"?revision="+strconv.FormatUint(expected, 10), data, &v)
+	return v.Revision, err
+}
+
+// Delete removes a key if its revision is the expected one.
+func (c *Client) Delete(ctx context.Context, key string, expected uint64) error {
+	return c.call(ctx, callTimeout, http.MethodDelete, "/kv/"+key+"?revision="+strconv.FormatUint(expected, 10), nil, nil)
+}
+
+// Watch waits up to watchWait for a revision above after. It returns
+// fgstore.ErrNotFound when the service has answered that nothing changed.
+func (c *Client) Watch(ctx context.Context, key string, after uint64) (fgstore.Value, error) {
+	path := fmt.Sprintf("/watch/%s?after=%d&wait=%s", key, after, watchWait)
+	var v fgstore.Value
+	err := c.call(ctx, watchTimeout, http.MethodGet, path, nil, &v)
+	return v, err
+}
+
+// ListVMs returns the VM list.
+func (c *Client) ListVMs(ctx context.Context) ([]fgstore.VM, error) {
+	var vms []fgstore.VM
+	err := c.call(ctx, callTimeout, http.MethodGet, "/vms", nil, &vms)
+	return vms, err
+}
+
+func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	res, err := c.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("%w: %w", fgstore.ErrUnknown, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	if err != nil {
+		return fmt.Errorf("%w: %w", fgstore.ErrUnknown, err)
+	}
+	if err := statusError(res.StatusCode); err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("%w: %w", fgstore.ErrUnknown, err)
+	}
+	return nil
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound, http.StatusNoContent:
+		return fgstore.ErrNotFound
+	case http.StatusConflict:
+		return fgstore.ErrConflict
+	case http.StatusServiceUnavailable:
+		return fgstore.ErrUnavailable
+	default:
+		return fmt.Errorf("%w: status %d", fgstore.ErrUnknown, status)
+	}
+}
