Add an in-memory network for tests on paused time

Cause: proofs under cuts, silent connections and killed processes need the real entries, and the same verdict on each run. testing/synctest pauses time only for goroutines that do not wait on the operating system's network.

Considered: net.Pipe, ruled out because its writes wait for the reader, while a silent TCP connection accepts bytes and returns none. The network has one-way delays, cuts that heal, connections that go silent for good, refused dials and closed hosts. The real HTTP client and server run on it: a first request over 55 ms one way takes exactly 220 ms.

--- /dev/null
+++ b/internal/fgstandin/network_test.go
@@ -0,0 +1,92 @@
+package fgstandin
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+var (
+	hostA = netip.MustParseAddr("10.0.0.1")
+	hostB = netip.MustParseAddr("10.0.0.2")
+)
+
+// TestNetworkCarriesHTTP guards against a network on which the real HTTP
+// client and server do not work, or whose delay is wrong.
+func TestNetworkCarriesHTTP(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &Network{}
+		n.SetDelay(func(_, _ netip.Addr) time.Duration { return 55 * time.Millisecond })
+		l, err := n.Host(hostB).Listen("tcp", "10.0.0.2:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &http.Server{Handler: &Upstream{}}
+		go func() { _ = s.Serve(l) }()
+		defer func() { _ = s.Close() }()
+		transport := &http.Transport{DialContext: n.Host(hostA).DialContext}
+		defer transport.CloseIdleConnections()
+		start := time.Now()
+		res, err := (&http.Client{Transport: transport}).Get("http://10.0.0.2:80/x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		// A connection costs one round trip, the request another.
+		if took := time.Since(start); took != 220*time.Millisecond {
+			t.Errorf("took %s, want 220ms", took)
+		}
+	})
+}
+
+// TestNetworkFaults guards against faults that do not look as they do on a
+// real network: a refused dial, a cut, a connection that stays silent.
+func TestNetworkFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &Network{}
+		if _, err := n.Host(hostA).DialContext(t.Context(), "tcp", "10.0.0.2:80"); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("dial without a listener: %v", err)
+		}
+		l, err := n.Host(hostB).Listen("tcp", "10.0.0.2:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.SetCut(hostA, hostB, true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := n.Host(hostA).DialContext(ctx, "tcp", "10.0.0.2:80"); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("dial over a cut link: %v", err)
+		}
+		n.SetCut(hostA, hostB, false)
+		c, err := n.Host(hostA).DialContext(t.Context(), "tcp", "10.0.0.2:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.SilenceConns(hostA, hostB)
+		peer, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write([]byte("x")); err != nil {
+			t.Errorf("a silent connection refuses bytes: %v", err)
+		}
+		_ = peer.SetReadDeadline(time.Now().Add(time.Second))
+		if _, err := peer.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("read from a silent connection: %v", err)
+		}
+		n.CloseHost(hostA)
+		if _, err := c.Write([]byte("x")); err == nil {
+			t.Error("a closed host still writes")
+		}
+	})
+}
--- /dev/null
+++ b/internal/fgstandin/networkconn.go
@@ -0,0 +1,250 @@
+package fgstandin
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// streamBufferBytes bounds what is sent and not yet read, like the buffers of
+// a TCP connection.
+const streamBufferBytes = 64 << 10
+
+// memoryConn is one end of a connection.
+type memoryConn struct {
+	network       *Network
+	local, remote netip.AddrPort
+	in, out       *stream
+}
+
+// Read returns bytes that the other end has sent.
+func (c *memoryConn) Read(p []byte) (int, error) { return c.in.read(p) }
+
+// Write sends bytes to the other end.
+func (c *memoryConn) Write(p []byte) (int, error) { return c.out.write(p) }
+
+// Close ends both directions.
+func (c *memoryConn) Close() error {
+	c.out.closeWriter()
+	c.in.closeReader()
+	c.network.forget(c)
+	return nil
+}
+
+// LocalAddr returns the address of this end.
+func (c *memoryConn) LocalAddr() net.Addr { return net.TCPAddrFromAddrPort(c.local) }
+
+// RemoteAddr returns the address of the other end.
+func (c *memoryConn) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(c.remote) }
+
+// SetDeadline sets the deadlines of both directions.
+func (c *memoryConn) SetDeadline(t time.Time) error {
+	c.in.setReadDeadline(t)
+	c.out.setWriteDeadline(t)
+	return nil
+}
+
+// SetReadDeadline sets the deadline of Read.
+func (c *memoryConn) SetReadDeadline(t time.Time) error {
+	c.in.setReadDeadline(t)
+	return nil
+}
+
+// SetWriteDeadline sets the deadline of Write.
+func (c *memoryConn) SetWriteDeadline(t time.Time) error {
+	c.out.setWriteDeadline(t)
+	return nil
+}
+
+// chunk is data that arrives at a time.
+type chunk struct {
+	data    []byte
+	arrives time.Time
+}
+
+// stream is one direction of a connection.
+type stream struct {
+	network *Network
+	link    link
+
+	mu            sync.Mutex
+	chunks        []chunk
+	size          int
+	writerClosed  bool
+	closeArrives  time.Time
+	readerClosed  bool
+	silent        bool
+	readDeadline  time.Time
+	writeDeadline time.Time
+	changed       chan struct{}
+}
+
+// read waits until data, the end or the deadline arrives.
+func (s *stream) read(p []byte) (int, error) {
+	for {
+		cut, networkChanged := s.network.isCut(s.link)
+		s.mu.Lock()
+		n, wake, err := s.tryRead(p, cut)
+		changed := s.wait()
+		s.mu.Unlock()
+		if n > 0 || err != nil {
+			return n, err
+		}
+		waitUntil(wake, changed, networkChanged)
+	}
+}
+
+// tryRead returns data or an error, or else when to try again.
+func (s *stream) tryRead(p []byte, cut bool) (int, time.Time, error) {
+	now := time.Now()
+	switch {
+	case s.readerClosed:
+		return 0, time.Time{}, net.ErrClosed
+	case expired(s.readDeadline, now):
+		return 0, time.Time{}, os.ErrDeadlineExceeded
+	case cut || s.silent:
+		return 0, s.readDeadline, nil
+	case len(s.chunks) > 0:
+		if first := &s.chunks[0]; !first.arrives.After(now) {
+			return s.take(p, first), time.Time{}, nil
+		}
+		return 0, earlier(s.chunks[0].arrives, s.readDeadline), nil
+	case s.writerClosed && !s.closeArrives.After(now):
+		return 0, time.Time{}, io.EOF
+	case s.writerClosed:
+		return 0, earlier(s.closeArrives, s.readDeadline), nil
+	default:
+		return 0, s.readDeadline, nil
+	}
+}
+
+func (s *stream) take(p []byte, first *chunk) int {
+	n := copy(p, first.data)
+	first.data = first.data[n:]
+	if len(first.data) == 0 {
+		s.chunks = s.chunks[1:]
+	}
+	s.size -= n
+	s.notify()
+	return n
+}
+
+// write queues data, and waits while the buffer is full.
+func (s *stream) write(p []byte) (int, error) {
+	delay := s.network.delayOf(s.link)
+	written := 0
+	for written < len(p) {
+		s.mu.Lock()
+		n, err := s.tryWrite(p[written:], delay)
+		changed, deadline := s.wait(), s.writeDeadline
+		s.mu.Unlock()
+		written += n
+		if err != nil {
+			return written, err
+		}
+		if n == 0 {
+			waitUntil(deadline, changed, nil)
+		}
+	}
+	return written, nil
+}
+
+func (s *stream) tryWrite(p []byte, delay time.Duration) (int, error) {
+	now := time.Now()
+	switch {
+	case s.writerClosed:
+		return 0, net.ErrClosed
+	case expired(s.writeDeadline, now):
+		return 0, os.ErrDeadlineExceeded
+	case s.readerClosed && !s.silent:
+		return 0, syscall.ECONNRESET
+	}
+	n := min(len(p), streamBufferBytes-s.size)
+	if n > 0 {
+		s.chunks = append(s.chunks, chunk{data: append([]byte(nil), p[:n]...), arrives: now.Add(delay)})
+		s.size += n
+		s.notify()
+	}
+	return n, nil
+}
+
+func (s *stream) closeWriter() {
+	delay := s.network.delayOf(s.link)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.writerClosed {
+		s.writerClosed = true
+		s.closeArrives = time.Now().Add(delay)
+	}
+	s.notify()
+}
+
+func (s *stream) closeReader() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readerClosed = true
+	s.notify()
+}
+
+// setSilent must not take the network's lock: its caller holds it.
+func (s *stream) setSilent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = true
+	s.notify()
+}
+
+func (s *stream) setReadDeadline(t time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readDeadline = t
+	s.notify()
+}
+
+func (s *stream) setWriteDeadline(t time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeDeadline = t
+	s.notify()
+}
+
+func (s *stream) wait() <-chan struct{} {
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.changed
+}
+
+func (s *stream) notify() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+func expired(deadline, now time.Time) bool { return !deadline.IsZero() && !now.Before(deadline) }
+
+// earlier returns the earlier of two times; the zero time means never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// waitUntil waits for a time (the zero time means never) or a change.
+func waitUntil(t time.Time, a, b <-chan struct{}) {
+	var timer <-chan time.Time
+	if !t.IsZero() {
+		timer = time.After(time.Until(t))
+	}
+	select {
+	case <-timer:
+	case <-a:
+	case <-b:
+	}
+}
