--- a/internal/fgcommand/script_test.go
+++ b/internal/fgcommand/script_test.go
@@ -37,6 +37,8 @@
 			// Each script listens on addresses of its own, so that fixed ports
 			// never clash between scripts.
 			e.Setenv("NET", fmt.Sprintf("127.10.%d", network.Add(1)))
+			// The race detector otherwise sleeps 1 s at the end of each process.
+			e.Setenv("GORACE", "atexit_sleep_ms=50")
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
--- a/internal/fgentry/caller.go
+++ b/internal/fgentry/caller.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -23,9 +23,6 @@
 	headerRequestID = "X-Request-Id"
 	headerWorkspace = "Filbertgap-Workspace"
 	headerTimeout   = "Request-Timeout-Ms"
-
-	// lookupLifetime is how long callers may cache a look-up answer.
-	lookupLifetime = 30 * time.Second
 )
 
 func (e *Entry) callerHandler() http.Handler {
@@ -38,47 +35,6 @@
 	return r
 }
 
-// LookupVM is one VM of a look-up answer.
-type LookupVM struct {
-	VM               string `json:"vm"`
-	Address          string `json:"address"`
-	Region           string `json:"region"`
-	AvailabilityZone string `json:"availabilityZone"`
-	// IDPrefix begins the Idempotency-Key of requests sent to this VM.
-	IDPrefix string `json:"idPrefix"`
-}
-
-// LookupAnswer tells a caller which VMs to use, in order.
-type LookupAnswer struct {
-	VMs             []LookupVM `json:"vms"`
-	LifetimeSeconds int        `json:"lifetimeSeconds"`
-}
-
-func (e *Entry) handleLookup(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	answer := LookupAnswer{LifetimeSeconds: int(lookupLifetime.Seconds())}
-	for _, m := range e.members.State().All() {
-		if m.Leaving || !e.reports.Alive(m.Incarnation) {
-			continue
-		}
-		answer.VMs = append(answer.VMs, LookupVM{VM: m.VM, Address: m.CallerAddress, Region: m.Region, AvailabilityZone: m.AvailabilityZone})
-	}
-	slices.SortStableFunc(answer.VMs, func(a, b LookupVM) int { return e.distance(a) - e.distance(b) })
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Cache-Control", "max-age="+strconv.Itoa(answer.LifetimeSeconds))
-	_ = json.NewEncoder(w).Encode(answer)
-}
-
-func (e *Entry) distance(v LookupVM) int {
-	switch {
-	case v.VM == e.settings.raw.VM:
-		return 0
-	case v.Region == e.settings.raw.Region:
-		return 1
-	default:
-		return 2
-	}
-}
-
 // call is one caller's request on its way through this process.
 type call struct {
 	id        string
@@ -108,11 +64,36 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.route.Spec().Deadline.Value())
 	defer cancel()
-	u, err := e.place(c)
+	if c.key != nil {
+		if err := e.checkFresh(); err != nil {
+			return err
+		}
+		var end func()
+		ctx, end = e.trackKey(ctx, c)
+		defer end()
+	}
+	r = r.WithContext(ctx)
+	if c.route.Spec().Idempotent {
+		return e.run(w, r, c)
+	}
+	return e.once(w, r, c)
+}
+
+// run admits a call, places it and sends it to its target.
+func (e *Entry) run(w http.ResponseWriter, r *http.Request, c *call) error {
+	if err := e.admitWorkspace(r.Context(), c); err != nil {
+		return err
+	}
+	t, err := e.place(r.Context(), c, placeOptions{})
 	if err != nil {
 		return err
 	}
-	return e.forward(ctx, w, r, c, u)
+	switch t := t.(type) {
+	case localTarget:
+		return e.sendLocal(w, r, c, t)
+	default:
+		return fmt.Errorf("unknown target %T", t)
+	}
 }
 
 func (c *call) matchRoute(r *http.Request) error {
@@ -155,30 +136,23 @@
 	return at != nil && !time.Now().Before(*at)
 }
 
-// place chooses an upstream of the route's group.
-func (e *Entry) place(c *call) (*fgconfig.Upstream, error) {
-	for _, u := range c.snapshot.Upstreams(c.route.Spec().UpstreamGroup) {
-		if u.Spec().Region == e.settings.raw.Region {
-			return u, nil
-		}
-	}
-	return nil, fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodeNoUpstream, "no upstream serves the route here")
-}
-
-func (e *Entry) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, u *fgconfig.Upstream) error {
-	out := r.Clone(ctx)
+// sendLocal sends a call to an upstream and copies its answer.
+func (e *Entry) sendLocal(w http.ResponseWriter, r *http.Request, c *call, t localTarget) error {
+	out := r.Clone(r.Context())
 	out.Header.Del("Authorization")
 	out.Header.Set(headerWorkspace, c.workspace)
 	out.Header.Set(headerRequestID, c.id)
-	if deadline, ok := ctx.Deadline(); ok {
+	if deadline, ok := r.Context().Deadline(); ok {
 		out.Header.Set(headerTimeout, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	}
-	res, err := e.upstreams.RoundTrip(ctx, u.Spec().Address, out)
+	res, err := e.upstreams.RoundTrip(r.Context(), t.upstream.Spec().Address, out)
 	if err != nil {
+		t.done(resultLost)
 		return fgproblem.New(http.StatusBadGateway, fgproblem.CodeUpstreamLost, "the upstream did not answer").WithOutcome(fgproblem.Unknown)
 	}
+	defer t.done(resultAnswered)
 	defer func() { _ = res.Body.Close() }()
-	e.logger.Info("request", "requestId", c.id, "workspace", c.workspace, "vm", e.settings.raw.VM, "upstream", u.Name(), "outcome", "ran", "status", res.StatusCode)
+	e.logger.Info("request", "requestId", c.id, "workspace", c.workspace, "vm", e.settings.raw.VM, "upstream", t.upstream.Name(), "outcome", "ran", "status", res.StatusCode)
 	for name, values := range res.Header {
 		w.Header()[name] = values
 	}
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -148,6 +148,8 @@
 	wg.Go(func() { _ = e.members.Run(background) })
 	wg.Go(func() { e.exchangeLoop(background) })
 	wg.Go(func() { e.servePeers(background) })
+	wg.Go(func() { e.runLimits(background) })
+	wg.Go(func() { e.runPlacement(background) })
 
 	caller := e.httpServer(e.callerHandler())
 	operator := e.httpServer(e.operatorHandler())
--- a/internal/fgentry/peers.go
+++ b/internal/fgentry/peers.go
@@ -20,6 +20,8 @@
 
 // peerService answers the calls of other entry processes.
 type peerService struct {
+	fgwire.DRPCPeerUnimplementedServer
+
 	entry *Entry
 }
 
