Classify what happened to a request sent to an upstream

Cause: net/http's Transport resends a request on a reused connection that breaks, when its body is absent or can be rewound and its method is safe or it carries an Idempotency-Key (or X-Idempotency-Key). The client now gives every request a body that is neither nil, NoBody nor rewindable, and removes these headers. The outcome follows from a count of the bytes that the kernel accepted on the request's connection; the connection is closed before the count is read, so that nothing is sent after the classification.

Ruled out: classification by httptrace.WroteRequest, since the headers can be in the kernel while WroteRequest reports an error.

An answer that has neither a length nor chunks ends with its connection, so a cut there cannot be told from the end.

--- a/internal/fgentry/caller.go
+++ b/internal/fgentry/caller.go
@@ -16,6 +16,7 @@
 	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/internal/transport/fgupstream"
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
 )
 
@@ -145,8 +146,8 @@
 	if deadline, ok := r.Context().Deadline(); ok {
 		out.Header.Set(headerTimeout, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	}
-	res, err := e.upstreams.RoundTrip(r.Context(), t.upstream.Spec().Address, out)
-	if err != nil {
+	res, outcome, _ := e.upstreams.RoundTrip(r.Context(), t.upstream.Spec().Address, out)
+	if outcome != fgupstream.Answered {
 		t.done(resultLost)
 		return fgproblem.New(http.StatusBadGateway, fgproblem.CodeUpstreamLost, "the upstream did not answer").WithOutcome(fgproblem.Unknown)
 	}
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -66,7 +66,7 @@
 			Store: store, Key: membersKey, Initial: fgmember.EmptySet(), Apply: fgmember.Apply, Logger: logger,
 		}),
 		dialer:    fgpeer.NewDialer(s.fleetSecret),
-		upstreams: fgupstream.New(),
+		upstreams: fgupstream.New(fgupstream.Options{}),
 	}
 }
 
--- /dev/null
+++ b/internal/transport/fgupstream/client_test.go
@@ -0,0 +1,259 @@
+package fgupstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// script is a raw server: it answers the first request of each connection and
+// treats the second as told. It counts requests by id.
+type script struct {
+	listener net.Listener
+	second   func(net.Conn)
+
+	mu    sync.Mutex
+	seen  map[string]int
+	conns int
+}
+
+func newScript(t *testing.T, second func(net.Conn)) *script {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{listener: l, second: second, seen: map[string]int{}}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *script) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	s.mu.Lock()
+	s.conns++
+	s.mu.Unlock()
+	r := bufio.NewReader(c)
+	for n := 1; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		s.mu.Lock()
+		s.seen[req.Header.Get(HeaderRequestID)]++
+		s.mu.Unlock()
+		if n > 1 {
+			s.second(c)
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+func (s *script) count(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[id]
+}
+
+func (s *script) address() string { return s.listener.Addr().String() }
+
+func newRequest(t *testing.T, method, id, body string) *http.Request {
+	t.Helper()
+	var b io.Reader
+	if body != "" {
+		b = strings.NewReader(body)
+	}
+	r, err := http.NewRequest(method, "http://ignored/x", b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(HeaderRequestID, id)
+	r.Header.Set("Idempotency-Key", id)
+	r.Header.Set("X-Idempotency-Key", id)
+	return r
+}
+
+func warm(t *testing.T, c *Client, address string) {
+	t.Helper()
+	res, _, err := c.RoundTrip(t.Context(), address, newRequest(t, http.MethodGet, "warm", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+}
+
+// Guards against net/http's own resending of a request on a reused connection
+// that breaks after the upstream has read the request.
+func TestNeverSendsTwice(t *testing.T) {
+	breaks := []struct {
+		name  string
+		apply func(net.Conn)
+	}{
+		{"close", func(net.Conn) {}},
+		{"reset", func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }},
+		{"half a status line", func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 2") }},
+	}
+	requests := []struct{ method, body string }{
+		{http.MethodGet, ""}, {http.MethodHead, ""}, {http.MethodOptions, ""}, {http.MethodDelete, ""},
+		{http.MethodPost, ""}, {http.MethodPost, "reserve"}, {http.MethodPut, "reserve"}, {http.MethodGet, "body"},
+	}
+	for _, b := range breaks {
+		for _, q := range requests {
+			t.Run(b.name+" "+q.method+" "+q.body, func(t *testing.T) {
+				s := newScript(t, b.apply)
+				c := New(Options{})
+				defer c.Close()
+				warm(t, c, s.address())
+				_, outcome, err := c.RoundTrip(t.Context(), s.address(), newRequest(t, q.method, "once", q.body))
+				if err == nil || outcome != Lost {
+					t.Errorf("outcome = %v, error %v; want Lost", outcome, err)
+				}
+				if n := s.count("once"); n != 1 {
+					t.Errorf("the upstream received the request %d times", n)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a false not-run, and against unknown where not-run is certain.
+func TestOutcomes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := l.Addr().String()
+	_ = l.Close()
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	answer := func(text string) *script {
+		return newScript(t, func(c net.Conn) { _, _ = io.WriteString(c, text) })
+	}
+	tests := []struct {
+		name    string
+		ctx     context.Context
+		address string
+		want    Outcome
+	}{
+		{"connection refused", t.Context(), refusing, Unreached},
+		{"cancelled before sending", cancelled, answer("").address(), Unreached},
+		{"declared refusal", t.Context(), answer("HTTP/1.1 503 x\r\nRequest-Not-Run: true\r\nContent-Length: 0\r\n\r\n").address(), Refused},
+		{"503 without declaration", t.Context(), answer("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n").address(), Answered},
+		{"declaration on another status", t.Context(), answer("HTTP/1.1 500 x\r\nRequest-Not-Run: true\r\nContent-Length: 0\r\n\r\n").address(), Answered},
+		{"cut header", t.Context(), answer("HTTP/1.1 503 x\r\nRequest-Not-Run: true\r\n").address(), Lost},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := New(Options{})
+			defer c.Close()
+			if tt.address != refusing {
+				warm(t, c, tt.address)
+			}
+			res, outcome, _ := c.RoundTrip(tt.ctx, tt.address, newRequest(t, http.MethodPost, "x", "body"))
+			if res != nil {
+				_ = res.Body.Close()
+			}
+			if outcome != tt.want {
+				t.Errorf("outcome = %v, want %v", outcome, tt.want)
+			}
+			if got := RefusesConnections(t.Context(), tt.address); got != (tt.address == refusing) {
+				t.Errorf("RefusesConnections = %v", got)
+			}
+		})
+	}
+}
+
+// Guards against a not-run while a part of the request is in the kernel: the
+// connection accepts some bytes and then fails.
+func TestPartlyWrittenIsLost(t *testing.T) {
+	tests := []struct {
+		accept int
+		want   Outcome
+	}{{0, Unreached}, {1, Lost}, {40, Lost}}
+	for _, tt := range tests {
+		c := New(Options{Dial: func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			t.Cleanup(func() { _ = far.Close() })
+			return &failingConn{Conn: near, accept: tt.accept}, nil
+		}})
+		_, outcome, err := c.RoundTrip(t.Context(), "upstream:80", newRequest(t, http.MethodPost, "x", "body"))
+		if err == nil || outcome != tt.want {
+			t.Errorf("%d bytes accepted: outcome = %v, error %v; want %v", tt.accept, outcome, err, tt.want)
+		}
+	}
+}
+
+type failingConn struct {
+	net.Conn
+	accept int
+}
+
+func (c *failingConn) Write([]byte) (int, error) { return c.accept, errors.New("broken") }
+
+// Guards against a cut answer that looks whole, and against the reuse of a
+// connection whose request was cut or cancelled.
+func TestCutAnswers(t *testing.T) {
+	tests := []struct{ name, answer string }{
+		{"short body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort"},
+		{"broken chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsh"},
+		{"no last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScript(t, func(c net.Conn) { _, _ = io.WriteString(c, tt.answer) })
+			c := New(Options{})
+			defer c.Close()
+			warm(t, c, s.address())
+			res, _, err := c.RoundTrip(t.Context(), s.address(), newRequest(t, http.MethodPost, "x", "body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadAll(res.Body); err == nil {
+				t.Error("the cut answer was read without an error")
+			}
+			_ = res.Body.Close()
+		})
+	}
+}
+
+// Guards against an answer that arrives late for another request: a connection
+// is not used after its request was cancelled.
+func TestCancelledConnectionIsNotReused(t *testing.T) {
+	reached := make(chan struct{})
+	release := make(chan struct{})
+	defer close(release)
+	s := newScript(t, func(net.Conn) { close(reached); <-release })
+	c := New(Options{})
+	defer c.Close()
+	warm(t, c, s.address())
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-reached; cancel() }()
+	_, outcome, err := c.RoundTrip(ctx, s.address(), newRequest(t, http.MethodPost, "x", "body"))
+	if outcome != Lost || !errors.Is(err, context.Canceled) {
+		t.Errorf("outcome = %v, error %v; want Lost and cancelled", outcome, err)
+	}
+	warm(t, c, s.address())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns != 2 {
+		t.Errorf("%d connections, want 2", s.conns)
+	}
+}
