--- a/internal/protocol/fgproblem/problem.go
+++ b/internal/protocol/fgproblem/problem.go
@@ -40,6 +40,7 @@
 	CodeStale            Code = "stale-configuration"
 	CodeCrashes          Code = "request-crashes-upstreams"
 	CodeAlreadyRan       Code = "already-ran"
+	CodeIDReused         Code = "id-reused"
 	CodeOutcomeUnknown   Code = "outcome-unknown"
 	CodeLeaving          Code = "vm-leaving"
 	CodeBadRequest       Code = "bad-request"
--- a/internal/protocol/fgrequest/id.go
+++ b/internal/protocol/fgrequest/id.go
@@ -79,7 +79,8 @@
 	return i.String() + "-" + strconv.FormatUint(window, 10)
 }
 
-// ParseID reads an id. An id of any other form is ErrForeign.
+// ParseID reads an id. An id of any other form is ErrForeign, also one that
+// String would write differently: two texts are never the same id.
 func ParseID(text string) (ID, error) {
 	parts := strings.SplitN(text, "-", 3)
 	if len(parts) != 3 || parts[2] == "" || len(parts[2]) > MaxSuffixBytes {
@@ -93,7 +94,21 @@
 	if err != nil {
 		return ID{}, merry.Wrap(ErrForeign)
 	}
-	return ID{incarnation: incarnation, window: window, suffix: parts[2]}, nil
+	id := ID{incarnation: incarnation, window: window, suffix: parts[2]}
+	if id.String() != text || !visible(parts[2]) {
+		return ID{}, merry.Wrap(ErrForeign)
+	}
+	return id, nil
+}
+
+// visible reports whether a text can be sent in a header field unchanged.
+func visible(text string) bool {
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] > '~' {
+			return false
+		}
+	}
+	return true
 }
 
 // NewTraceID returns a random id for logs, for a request without one.
--- a/internal/transport/fgupstream/client.go
+++ b/internal/transport/fgupstream/client.go
@@ -71,7 +71,7 @@
 func New(o Options) *Client {
 	dial := o.Dial
 	if dial == nil {
-		dial = newDialer().DialContext
+		dial = (&net.Dialer{Timeout: connectTimeout}).DialContext
 	}
 	return &Client{transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -79,6 +79,10 @@
 			if err != nil {
 				return nil, err
 			}
+			if err := limitSilence(c); err != nil {
+				_ = c.Close()
+				return nil, err
+			}
 			return &conn{Conn: c}, nil
 		},
 		DisableCompression:  true,
@@ -87,14 +91,17 @@
 	}}
 }
 
-func newDialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout: connectTimeout,
-		Control: setUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
+// limitSilence makes the kernel end a connection whose other end has gone
+// silent, before and after it acknowledged a request.
+func limitSilence(c net.Conn) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
 	}
+	err := tcp.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	})
+	return errors.Join(err, setUserTimeout(tcp))
 }
 
 // RoundTrip sends a request to an upstream's address, at most once. The answer
--- a/internal/transport/fgupstream/socket_linux.go
+++ b/internal/transport/fgupstream/socket_linux.go
@@ -1,16 +1,20 @@
 package fgupstream
 
 import (
-	"syscall"
+	"net"
 
 	"golang.org/x/sys/unix"
 )
 
 // setUserTimeout makes the kernel end a connection on which sent bytes or
 // keep-alive probes stay unacknowledged for userTimeout.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func setUserTimeout(c *net.TCPConn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
 	var failure error
-	err := raw.Control(func(fd uintptr) {
+	err = raw.Control(func(fd uintptr) {
 		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 	})
 	if err != nil {
--- a/internal/transport/fgupstream/socket_linux_test.go
+++ b/internal/transport/fgupstream/socket_linux_test.go
@@ -28,12 +28,14 @@
 // acknowledged.
 func TestSocketOptions(t *testing.T) {
 	s := newScript(t, func(net.Conn) {})
-	c, err := newDialer().DialContext(t.Context(), "tcp", s.address())
+	client := New(Options{})
+	defer client.Close()
+	c, err := client.transport.DialContext(t.Context(), "tcp", s.address())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	if got := readUserTimeout(t, c.(*net.TCPConn)); got != 3*time.Second {
+	if got := readUserTimeout(t, c.(*conn).Conn.(*net.TCPConn)); got != 3*time.Second {
 		t.Errorf("TCP_USER_TIMEOUT = %v, want 3s", got)
 	}
 }
--- a/internal/transport/fgupstream/socket_other.go
+++ b/internal/transport/fgupstream/socket_other.go
@@ -2,8 +2,8 @@
 
 package fgupstream
 
-import "syscall"
+import "net"
 
 // setUserTimeout does nothing: the option exists on Linux only. Elsewhere the
 // keep-alive probes end a silent connection.
-func setUserTimeout(_, _ string, _ syscall.RawConn) error { return nil }
+func setUserTimeout(*net.TCPConn) error { return nil }
