Run non-idempotent requests at most once, across VMs

Cause: each arrival ran, whatever its Idempotency-Key. An id now names the one process that may run it: other VMs forward the request there over the peer port and answer unknown when that process does not answer. Refusals that come before earlier arrivals were looked up say unknown unless this process never saw the id.

The body is read before the request runs (1 MiB for non-idempotent requests), so that its digest can be compared. After sending, a non-idempotent request goes on to its deadline when its caller leaves, and its answer is kept.

Requests in flight at an upstream that breaks its connection and refuses new ones become suspects, known to the region's peers before the caller gets its answer.

Ruled out: a fallback to another VM when the owner cannot be reached, since an earlier attempt may have run.

--- a/internal/fgcommand/standin.go
+++ b/internal/fgcommand/standin.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 
 	"github.com/spf13/cobra"
 
@@ -43,6 +44,7 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var u fgstandin.Upstream
 			u.SetBehavior(b)
+			u.OnCrash(func() { os.Exit(1) })
 			return serveStandin(cmd, listen, &u)
 		},
 	}
--- /dev/null
+++ b/internal/fgentry/body.go
@@ -0,0 +1,127 @@
+package fgentry
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
+)
+
+const (
+	// maxOnceBody bounds the body of a non-idempotent request. It is read whole
+	// before the request runs, because its digest is compared with a repeat's.
+	maxOnceBody = 1 << 20
+	// maxRetryBody is how much of an idempotent request's body is kept for a
+	// second try. Longer bodies are streamed and sent once.
+	maxRetryBody = 64 << 10
+	// maxBufferedBodies bounds the bodies kept by the process.
+	maxBufferedBodies = 64 << 20
+)
+
+// bodyBudget counts the memory of kept bodies.
+type bodyBudget struct {
+	used atomic.Int64
+}
+
+func (b *bodyBudget) take(n int64) bool {
+	if b.used.Add(n) > maxBufferedBodies {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (b *bodyBudget) giveBack(n int64) { b.used.Add(-n) }
+
+// requestBody is a caller's body: a part that is kept and a rest that can be
+// read once.
+type requestBody struct {
+	head     []byte
+	rest     io.Reader
+	whole    bool
+	streamed bool
+	length   int64
+}
+
+// replayable reports whether the body can be sent once more.
+func (b *requestBody) replayable() bool { return b.whole || !b.streamed }
+
+// open returns the body for one try.
+func (b *requestBody) open() io.ReadCloser {
+	if b.whole {
+		return io.NopCloser(bytes.NewReader(b.head))
+	}
+	b.streamed = true
+	return io.NopCloser(io.MultiReader(bytes.NewReader(b.head), b.rest))
+}
+
+// readBody reads the kept part of a call's body. The returned function gives
+// its memory back.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, c *call) (func(), error) {
+	limit := int64(maxRetryBody)
+	if c.once {
+		limit = maxOnceBody
+	}
+	if c.once && r.ContentLength > limit {
+		return nil, bodyTooLong()
+	}
+	size := limit
+	if r.ContentLength >= 0 {
+		size = min(size, r.ContentLength)
+	}
+	if !e.bodies.take(size) {
+		return nil, fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodeNoCapacity, "too many request bodies are in flight").
+			WithRetryAfter(shedRetryAfter)
+	}
+	release := func() { e.bodies.giveBack(size) }
+	if err := c.readHead(w, r, limit); err != nil {
+		release()
+		return nil, err
+	}
+	return release, nil
+}
+
+func (c *call) readHead(w http.ResponseWriter, r *http.Request, limit int64) error {
+	control := http.NewResponseController(w)
+	if deadline, ok := r.Context().Deadline(); ok && r.ContentLength != 0 {
+		_ = control.SetReadDeadline(deadline)
+	}
+	head, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return bodyUnreadable(r.Context(), err)
+	}
+	c.body = &requestBody{head: head, rest: r.Body, whole: int64(len(head)) <= limit, length: r.ContentLength}
+	if c.once && !c.body.whole {
+		return bodyTooLong()
+	}
+	if c.body.whole {
+		c.body.length = int64(len(head))
+	}
+	if c.body.whole && r.ContentLength != 0 {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	c.bodyDigest = sha256.Sum256(head)
+	return nil
+}
+
+func bodyTooLong() error {
+	return fgproblem.New(http.StatusRequestEntityTooLarge, fgproblem.CodeBadRequest, "the body of a non-idempotent request is longer than 1 MiB")
+}
+
+// bodyUnreadable is the refusal of a request whose body did not arrive.
+func bodyUnreadable(ctx context.Context, err error) error {
+	var p *fgproblem.Problem
+	if errors.As(err, &p) {
+		return p
+	}
+	if ctx.Err() != nil {
+		return deadlinePassed()
+	}
+	return fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "the body was cut")
+}
--- a/internal/fgentry/caller.go
+++ b/internal/fgentry/caller.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,7 +16,7 @@
 	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
-	"github.com/filbertgap/filbertgap/internal/transport/fgupstream"
+	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
 )
 
@@ -24,6 +24,12 @@
 	headerRequestID = "X-Request-Id"
 	headerWorkspace = "Filbertgap-Workspace"
 	headerTimeout   = "Request-Timeout-Ms"
+
+	headerIdempotencyKey = "Idempotency-Key"
+	// maxIdempotencyKey bounds what is stored of each request.
+	maxIdempotencyKey = 255
+	// writeGrace is added to the deadline for the last part of an answer.
+	writeGrace = time.Second
 )
 
 func (e *Entry) callerHandler() http.Handler {
@@ -43,60 +49,145 @@
 	route     *fgconfig.Route
 	key       *fgconfig.Key
 	workspace string
+	// once marks a request that must not run twice.
+	once bool
+	// idempotencyKey is the key of repeats as the caller gave it.
+	idempotencyKey string
+	// foreign marks an idempotencyKey that names no process.
+	foreign bool
+	// upstreamID is the id under which the upstream receives the request.
+	upstreamID string
+	// settled means that refusals account for earlier arrivals of the same id.
+	settled bool
+	// hop tells how a peer forwarded the request here, and from where.
+	hop        hop
+	fromRegion string
+	// admittedAt is when the workspace's token was taken.
+	admittedAt time.Time
+	// sendContext bounds what was sent. For a non-idempotent request it does
+	// not end when the caller leaves.
+	sendContext context.Context
+	body        *requestBody
+	bodyDigest  [sha256.Size]byte
+	fingerprint fgsuspect.Fingerprint
 }
 
-func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
+func (e *Entry) newCall(w http.ResponseWriter, r *http.Request) *call {
 	c := &call{id: r.Header.Get(headerRequestID), snapshot: e.config.State()}
 	if c.id == "" {
 		c.id = fgrequest.NewTraceID()
 	}
 	w.Header().Set(headerRequestID, c.id)
-	if err := e.serve(w, r, c); err != nil {
-		e.refuse(w, c, err)
+	return c
+}
+
+func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
+	c := e.newCall(w, r)
+	e.finish(w, r, c, e.serve(w, r, c))
+}
+
+// finish ends a call that was served with an error.
+func (e *Entry) finish(w http.ResponseWriter, r *http.Request, c *call, err error) {
+	switch {
+	case err == nil:
+	case errors.Is(err, errAnswerCut), errors.Is(err, errCallerGone):
+		// Closes the caller's connection, so that a cut answer does not look whole.
+		panic(http.ErrAbortHandler)
+	default:
+		e.refuse(w, r, c, e.truthful(c, err))
 	}
 }
 
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, c *call) error {
+	keys := r.Header.Values(headerIdempotencyKey)
+	if len(keys) > 0 {
+		c.idempotencyKey = keys[0]
+	}
 	if err := c.matchRoute(r); err != nil {
 		return err
 	}
 	if err := c.authenticate(r); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), c.route.Spec().Deadline.Value())
-	defer cancel()
+	if len(keys) > 1 || len(c.idempotencyKey) > maxIdempotencyKey {
+		return fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "send one Idempotency-Key of at most 255 bytes")
+	}
+	return e.serveIdentified(w, r, c)
+}
+
+// serveIdentified serves a call whose route and workspace are known.
+func (e *Entry) serveIdentified(w http.ResponseWriter, r *http.Request, c *call) error {
+	ctx, end := e.callContext(r, c)
+	defer end()
+	r = r.WithContext(ctx)
 	if c.key != nil {
 		if err := e.checkFresh(); err != nil {
 			return err
 		}
-		var end func()
-		ctx, end = e.trackKey(ctx, c)
-		defer end()
 	}
-	r = r.WithContext(ctx)
-	if c.route.Spec().Idempotent {
+	release, err := e.readBody(w, r, c)
+	if err != nil {
+		return err
+	}
+	defer release()
+	c.fingerprint = fgsuspect.Fingerprint(digestOf(c.workspace, c.route.Name(), r.Method, r.URL.Path, r.URL.RawQuery, string(c.bodyDigest[:])))
+	defer limitWrites(w, ctx)()
+	switch {
+	case c.hop == hopID:
+		return e.serveOwned(w, r, c)
+	case c.hop == hopPlace || !c.once:
 		return e.run(w, r, c)
+	default:
+		return e.serveOnce(w, r, c)
 	}
-	return e.once(w, r, c)
 }
 
-// run admits a call, places it and sends it to its target.
-func (e *Entry) run(w http.ResponseWriter, r *http.Request, c *call) error {
-	if err := e.admitWorkspace(r.Context(), c); err != nil {
-		return err
+// callContext returns the context of a call, which ends at its deadline, when
+// its key is withdrawn, and when its caller leaves.
+func (e *Entry) callContext(r *http.Request, c *call) (context.Context, func()) {
+	limit := c.route.Spec().Deadline.Value()
+	if ms, err := strconv.ParseInt(r.Header.Get(headerTimeout), 10, 32); err == nil && ms > 0 {
+		limit = min(limit, time.Duration(ms)*time.Millisecond)
+	}
+	lasting, cancelLasting := context.WithTimeout(context.WithoutCancel(r.Context()), limit)
+	endTracking := func() {}
+	if c.key != nil {
+		lasting, endTracking = e.trackKey(lasting, c)
 	}
-	t, err := e.place(r.Context(), c, placeOptions{})
-	if err != nil {
-		return err
+	ctx, cancel := context.WithCancel(lasting)
+	stop := context.AfterFunc(r.Context(), cancel)
+	c.sendContext = ctx
+	if c.once {
+		c.sendContext = lasting
 	}
-	switch t := t.(type) {
-	case localTarget:
-		return e.sendLocal(w, r, c, t)
-	default:
-		return fmt.Errorf("unknown target %T", t)
+	return ctx, func() {
+		stop()
+		cancel()
+		endTracking()
+		cancelLasting()
 	}
 }
 
+// limitWrites ends writes to a caller that does not read its answer by the
+// deadline. The returned function lifts the limit for the connection's next
+// request.
+func limitWrites(w http.ResponseWriter, ctx context.Context) func() {
+	control := http.NewResponseController(w)
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = control.SetWriteDeadline(deadline.Add(writeGrace))
+	}
+	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+}
+
+// digestOf returns a digest of texts that differs when any of them differs.
+func digestOf(texts ...string) [sha256.Size]byte {
+	h := sha256.New()
+	for _, text := range texts {
+		_, _ = fmt.Fprintf(h, "%d:%s", len(text), text)
+	}
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
 func (c *call) matchRoute(r *http.Request) error {
 	c.route = c.snapshot.Route(r.URL.Path)
 	if c.route == nil {
@@ -105,6 +196,7 @@
 	if !slices.Contains(c.route.Spec().Methods, r.Method) {
 		return fgproblem.New(http.StatusMethodNotAllowed, fgproblem.CodeMethodNotAllowed, "the route does not accept the method")
 	}
+	c.once = !c.route.Spec().Idempotent
 	return nil
 }
 
@@ -137,40 +229,19 @@
 	return at != nil && !time.Now().Before(*at)
 }
 
-// sendLocal sends a call to an upstream and copies its answer.
-func (e *Entry) sendLocal(w http.ResponseWriter, r *http.Request, c *call, t localTarget) error {
-	out := r.Clone(r.Context())
-	out.Header.Del("Authorization")
-	out.Header.Set(headerWorkspace, c.workspace)
-	out.Header.Set(headerRequestID, c.id)
-	if deadline, ok := r.Context().Deadline(); ok {
-		out.Header.Set(headerTimeout, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
-	}
-	res, outcome, _ := e.upstreams.RoundTrip(r.Context(), t.upstream.Spec().Address, out)
-	if outcome != fgupstream.Answered {
-		t.done(resultLost)
-		return fgproblem.New(http.StatusBadGateway, fgproblem.CodeUpstreamLost, "the upstream did not answer").WithOutcome(fgproblem.Unknown)
-	}
-	defer t.done(resultAnswered)
-	defer func() { _ = res.Body.Close() }()
-	e.logger.Info("request", "requestId", c.id, "workspace", c.workspace, "vm", e.settings.raw.VM, "upstream", t.upstream.Name(), "outcome", "ran", "status", res.StatusCode)
-	for name, values := range res.Header {
-		w.Header()[name] = values
-	}
-	w.WriteHeader(res.StatusCode)
-	if _, err := io.Copy(w, res.Body); err != nil {
-		// Closes the caller's connection, so that a cut answer does not look whole.
-		panic(http.ErrAbortHandler)
-	}
-	return nil
-}
-
-func (e *Entry) refuse(w http.ResponseWriter, c *call, err error) {
+func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, c *call, err error) {
 	var p *fgproblem.Problem
 	if !errors.As(err, &p) {
 		p = fgproblem.New(http.StatusInternalServerError, fgproblem.CodeOutcomeUnknown, "internal error").WithOutcome(fgproblem.Unknown)
 		e.logger.Error(err, "request failed", "requestId", c.id)
 	}
 	e.logger.Info("request", "requestId", c.id, "workspace", c.workspace, "vm", e.settings.raw.VM, "upstream", "", "outcome", p.Outcome(), "reason", p.Code())
+	if r.ContentLength != 0 && (c.body == nil || !c.body.whole) {
+		// The rest of the body must not be read as the next request.
+		w.Header().Set("Connection", "close")
+	}
+	if c.hop != hopNone {
+		w.Header().Set(headerOutcome, string(p.Outcome()))
+	}
 	p.Write(w, c.id)
 }
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -46,7 +46,8 @@
 	reports     fgmember.Reports
 	dialer      *fgpeer.Dialer
 	upstreams   *fgupstream.Client
-	listeners   listeners
+	requests
+	listeners listeners
 }
 
 type listeners struct {
@@ -55,6 +56,7 @@
 
 // New returns an entry that uses a platform. Nothing runs before Run.
 func New(s Settings, store fgstore.Store, logger logr.Logger) *Entry {
+	dialer := fgpeer.NewDialer(s.fleetSecret)
 	return &Entry{
 		settings:    s,
 		logger:      logger,
@@ -65,7 +67,8 @@
 		members: fgsync.NewReplica(fgsync.Options[*fgmember.Set]{
 			Store: store, Key: membersKey, Initial: fgmember.EmptySet(), Apply: fgmember.Apply, Logger: logger,
 		}),
-		dialer:    fgpeer.NewDialer(s.fleetSecret),
+		dialer:    dialer,
+		requests:  requests{store: store, peers: newPeerClient(dialer)},
 		upstreams: fgupstream.New(fgupstream.Options{}),
 	}
 }
@@ -189,7 +192,7 @@
 		e.logger.Error(err, "register the peer service")
 		return
 	}
-	s := fgpeer.NewServer(fgpeer.ServerOptions{Secret: e.settings.fleetSecret, RPC: mux, HTTP: http.NotFoundHandler(), Logger: e.logger})
+	s := fgpeer.NewServer(fgpeer.ServerOptions{Secret: e.settings.fleetSecret, RPC: mux, HTTP: e.forwardedHandler(), Logger: e.logger})
 	if err := s.Serve(ctx, e.listeners.peer); err != nil && ctx.Err() == nil {
 		e.logger.Error(err, "peer listener failed")
 	}
--- a/internal/fgentry/placement.go
+++ b/internal/fgentry/placement.go
@@ -78,3 +78,7 @@
 // runPlacement keeps the placement's view of upstreams and peers up to date
 // until the context ends.
 func (e *Entry) runPlacement(ctx context.Context) { <-ctx.Done() }
+
+// allowRetry spends one retry of the budget. It reports false when the budget
+// is spent.
+func (e *Entry) allowRetry() bool { return true }
--- /dev/null
+++ b/internal/fgentry/send.go
@@ -0,0 +1,258 @@
+package fgentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
+	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
+	"github.com/filbertgap/filbertgap/internal/transport/fgupstream"
+)
+
+const (
+	// maxTries bounds how often a request is sent.
+	maxTries = 2
+	// maxBusyPlacements bounds the targets that are passed over because a
+	// suspect must run alone.
+	maxBusyPlacements = 8
+	// maxAdmissionAge is how old a token may be when its request is sent. An
+	// older one means that the process was paused, or queued the request.
+	maxAdmissionAge = 100 * time.Millisecond
+	// shedRetryAfter is suggested when capacity is short.
+	shedRetryAfter = time.Second
+)
+
+// attempt is how one try of a request ended.
+type attempt struct {
+	result result
+	// names are the target's names for placeOptions.exclude.
+	names []string
+	// busy means that nothing was sent, because a suspect must run alone.
+	busy bool
+	err  error
+}
+
+// run admits a call, places it and sends it to its target.
+func (e *Entry) run(w http.ResponseWriter, r *http.Request, c *call) error {
+	if c.hop != hopPlace {
+		if err := e.admitWorkspace(r.Context(), c); err != nil {
+			return beforeSending(r.Context(), err)
+		}
+	}
+	c.admittedAt = time.Now()
+	exclude := map[string]bool{}
+	var last error
+	for tries, busy := 0, 0; ; {
+		a, err := e.placeAndSend(w, r, c, exclude)
+		if err != nil && last != nil {
+			return last
+		}
+		if err != nil {
+			return err
+		}
+		if a.err == nil {
+			return nil
+		}
+		last = a.err
+		if a.busy {
+			busy++
+		} else {
+			tries++
+		}
+		if busy >= maxBusyPlacements || !a.busy && !e.mayRetry(r.Context(), c, a.result, tries) {
+			return last
+		}
+		for _, name := range a.names {
+			exclude[name] = true
+		}
+	}
+}
+
+// mayRetry reports whether a call may be sent once more.
+func (e *Entry) mayRetry(ctx context.Context, c *call, last result, tries int) bool {
+	if tries >= maxTries || ctx.Err() != nil || !c.body.replayable() {
+		return false
+	}
+	switch last {
+	case resultShed, resultUnreached:
+	case resultLost:
+		if c.once {
+			return false
+		}
+	default:
+		return false
+	}
+	return e.allowRetry()
+}
+
+func (e *Entry) placeAndSend(w http.ResponseWriter, r *http.Request, c *call, exclude map[string]bool) (attempt, error) {
+	status := e.suspects.Status(c.fingerprint)
+	if status == fgsuspect.Convicted {
+		return attempt{}, crashesUpstreams()
+	}
+	t, err := e.place(r.Context(), c, placeOptions{
+		localOnly: c.hop == hopPlace, exclude: exclude, alone: status == fgsuspect.Suspect,
+	})
+	if err != nil {
+		return attempt{}, beforeSending(r.Context(), err)
+	}
+	switch t := t.(type) {
+	case localTarget:
+		return e.sendLocal(w, r, c, t), nil
+	case peerTarget:
+		return e.sendPeer(w, r, c, t), nil
+	default:
+		return attempt{}, fmt.Errorf("unknown target %T", t)
+	}
+}
+
+// beforeSending makes an error that arose before anything was sent a refusal.
+func beforeSending(ctx context.Context, err error) error {
+	var p *fgproblem.Problem
+	switch {
+	case errors.As(err, &p):
+		return p
+	case ctx.Err() != nil:
+		return deadlinePassed()
+	default:
+		return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodeNoCapacity, err.Error())
+	}
+}
+
+func deadlinePassed() *fgproblem.Problem {
+	return fgproblem.New(http.StatusGatewayTimeout, fgproblem.CodeDeadline, "the request's deadline passed, or its caller left")
+}
+
+func crashesUpstreams() error {
+	return fgproblem.New(http.StatusUnprocessableEntity, fgproblem.CodeCrashes, "two upstreams crashed while they ran this request").
+		WithRetryAfter(fgsuspect.Lifetime)
+}
+
+func noCapacity(detail string) *fgproblem.Problem {
+	return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodeNoCapacity, detail).WithRetryAfter(shedRetryAfter)
+}
+
+// readmit guards against a process that was paused after it admitted a call:
+// the token is then too old, and the key may have been withdrawn.
+func (e *Entry) readmit(ctx context.Context, c *call) error {
+	if sinceEither(c.admittedAt) <= maxAdmissionAge {
+		return nil
+	}
+	if c.key != nil {
+		if err := e.checkFresh(); err != nil {
+			return beforeSending(ctx, err)
+		}
+		now, ok := e.config.State().Key(c.key.ID())
+		if !ok || now.Spec().Digest != c.key.Spec().Digest || expired(now) {
+			return keyInvalid()
+		}
+	}
+	if err := e.admitWorkspace(ctx, c); err != nil {
+		return beforeSending(ctx, err)
+	}
+	c.admittedAt = time.Now()
+	return nil
+}
+
+// sinceEither returns the time since t by the monotonic clock or by the wall
+// clock, whichever is longer: the monotonic one stands still while a VM is
+// suspended.
+func sinceEither(t time.Time) time.Duration {
+	now := time.Now()
+	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
+}
+
+// outgoing returns a call's request as it is sent on, without what belongs to
+// the caller's connection and without the caller's key.
+func (c *call) outgoing(r *http.Request) *http.Request {
+	out := r.Clone(c.sendContext)
+	removeHopByHop(out.Header)
+	out.Header.Del("Authorization")
+	out.Header.Del(headerIdempotencyKey)
+	out.Header.Set(headerRequestID, c.id)
+	out.Header.Set(headerWorkspace, c.workspace)
+	if deadline, ok := c.sendContext.Deadline(); ok {
+		out.Header.Set(headerTimeout, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	}
+	out.Body, out.ContentLength = c.body.open(), c.body.length
+	if c.body.length == 0 {
+		out.Body = http.NoBody
+	}
+	out.TransferEncoding, out.Trailer, out.Close = nil, nil, false
+	return out
+}
+
+// sendLocal sends a call to an upstream and copies its answer.
+func (e *Entry) sendLocal(w http.ResponseWriter, r *http.Request, c *call, t localTarget) attempt {
+	a := attempt{names: []string{t.upstream.Name()}, result: resultCancelled}
+	defer func() { t.done(a.result) }()
+	run, err := e.suspects.Enter(t.upstream.Name(), c.fingerprint)
+	switch {
+	case errors.Is(err, fgsuspect.ErrBusy):
+		a.busy, a.err = true, noCapacity("a request that may crash upstreams runs alone").WithRetryAfter(shedRetryAfter)
+		return a
+	case err != nil:
+		a.err = crashesUpstreams()
+		return a
+	}
+	defer func() { e.spreadSuspects(run.Leave(a.result == resultAnswered)) }()
+	if a.err = e.readmit(r.Context(), c); a.err != nil {
+		return a
+	}
+	out := c.outgoing(r)
+	if c.upstreamID != "" {
+		out.Header.Set(fgupstream.HeaderRequestID, c.upstreamID)
+	}
+	res, outcome, cause := e.upstreams.RoundTrip(c.sendContext, t.upstream.Spec().Address, out)
+	if outcome != fgupstream.Answered {
+		a.result, a.err = e.unanswered(c, outcome, cause)
+	} else {
+		e.logger.Info("request", "requestId", c.id, "workspace", c.workspace, "vm", e.settings.raw.VM, "upstream", t.upstream.Name(), "outcome", "ran", "status", res.StatusCode)
+		a.result, a.err = e.passAnswer(w, c, res)
+	}
+	if a.result == resultLost {
+		e.detectCrash(t.upstream)
+	}
+	return a
+}
+
+// unanswered returns the refusal of a request that no answer came for.
+func (e *Entry) unanswered(c *call, o fgupstream.Outcome, cause error) (result, error) {
+	ended := c.sendContext.Err() != nil
+	switch {
+	case o == fgupstream.Refused:
+		return resultShed, noCapacity("the upstream refused the request")
+	case o == fgupstream.Unreached && ended:
+		return resultCancelled, deadlinePassed()
+	case o == fgupstream.Unreached:
+		return resultUnreached, fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodeUpstreamLost, "the upstream cannot be reached").
+			WithRetryAfter(shedRetryAfter)
+	case ended:
+		return resultCancelled, deadlinePassed().WithOutcome(fgproblem.Unknown)
+	default:
+		e.logger.V(1).Info("connection lost", "requestId", c.id, "error", cause.Error())
+		return resultLost, fgproblem.New(http.StatusBadGateway, fgproblem.CodeUpstreamLost, "the connection broke before an answer came").
+			WithOutcome(fgproblem.Unknown)
+	}
+}
+
+// passAnswer copies an answer to the caller.
+func (e *Entry) passAnswer(w http.ResponseWriter, c *call, res *http.Response) (result, error) {
+	defer func() { _ = res.Body.Close() }()
+	if c.fromRegion != "" && c.fromRegion != e.settings.raw.Region {
+		res.Body = readCloser{Reader: e.pace(c.sendContext, e.settings.raw.Region, c.fromRegion, res.Body), Closer: res.Body}
+	}
+	err := copyAnswer(w, res)
+	switch {
+	case err == nil:
+		return resultAnswered, nil
+	case c.sendContext.Err() != nil || errors.Is(err, errCallerGone):
+		return resultCancelled, err
+	default:
+		return resultLost, err
+	}
+}
--- /dev/null
+++ b/internal/fgentry/suspectservice.go
@@ -0,0 +1,105 @@
+package fgentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
+	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
+	"github.com/filbertgap/filbertgap/internal/transport/fgupstream"
+)
+
+const (
+	// spreadTimeout bounds how long an answer waits for peers to learn of a
+	// suspect. They know it before the caller can send the request again.
+	spreadTimeout = 300 * time.Millisecond
+	// probeWait separates the attempts to connect to an upstream whose
+	// connections broke: its listener may close a little later.
+	probeWait  = 20 * time.Millisecond
+	probeTries = 4
+)
+
+// Suspect takes over what a peer found out about requests.
+func (s *peerService) Suspect(_ context.Context, in *fgwire.SuspectRequest) (*fgwire.SuspectAnswer, error) {
+	var states []fgsuspect.State
+	for _, m := range in.GetStates() {
+		var f fgsuspect.Fingerprint
+		if copy(f[:], m.GetFingerprint()) != len(f) {
+			continue
+		}
+		states = append(states, fgsuspect.NewState(f, suspectStatus(m)))
+	}
+	s.entry.suspects.Merge(states)
+	return &fgwire.SuspectAnswer{}, nil
+}
+
+func suspectStatus(m *fgwire.SuspectState) fgsuspect.Status {
+	switch {
+	case m.GetConvicted():
+		return fgsuspect.Convicted
+	case m.GetCleared():
+		return fgsuspect.Clear
+	default:
+		return fgsuspect.Suspect
+	}
+}
+
+// detectCrash makes suspects of the requests in flight at an upstream whose
+// connection broke, if it refuses new connections.
+func (e *Entry) detectCrash(u *fgconfig.Upstream) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTries*probeWait+spreadTimeout)
+	defer cancel()
+	for try := range probeTries {
+		if try > 0 {
+			wait(ctx, probeWait)
+		}
+		if !fgupstream.RefusesConnections(ctx, u.Spec().Address) {
+			continue
+		}
+		news := e.suspects.Crash(u.Name())
+		e.logger.Info("upstream crashed", "upstream", u.Name(), "suspects", len(news))
+		e.spreadSuspects(news)
+		return
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// spreadSuspects tells the region's peers, and returns when they know.
+func (e *Entry) spreadSuspects(news []fgsuspect.State) {
+	if len(news) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), spreadTimeout)
+	defer cancel()
+	in := &fgwire.SuspectRequest{}
+	for _, s := range news {
+		f := s.Fingerprint()
+		in.States = append(in.States, &fgwire.SuspectState{
+			Fingerprint: f[:], Convicted: s.Status() == fgsuspect.Convicted, Cleared: s.Status() == fgsuspect.Clear,
+		})
+	}
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for _, m := range e.members.State().All() {
+		if m.Incarnation == e.incarnation.String() || m.Region != e.settings.raw.Region {
+			continue
+		}
+		wg.Go(func() {
+			client := fgwire.NewDRPCPeerClient(e.dialer.RPC(ctx, m.PeerAddress))
+			if _, err := client.Suspect(ctx, in); err != nil {
+				e.logger.V(1).Info("suspects not sent", "peer", m.VM, "error", err.Error())
+			}
+		})
+	}
+}
--- a/internal/fgstandin/upstream.go
+++ b/internal/fgstandin/upstream.go
@@ -1,10 +1,12 @@
 package fgstandin
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -25,6 +27,11 @@
 	Silent bool `json:"silent"`
 	// AnswerBytes is the size of an answer's filler.
 	AnswerBytes int `json:"answerBytes"`
+	// CutAnswers breaks the connection within each answer.
+	CutAnswers bool `json:"cutAnswers"`
+	// CrashPath is a path whose requests crash the upstream after it has read
+	// them.
+	CrashPath string `json:"crashPath"`
 }
 
 // Observed is what an upstream saw of one request.
@@ -41,6 +48,11 @@
 	// HeaderNotRun vouches that a refused request did not run.
 	HeaderNotRun = "Request-Not-Run"
 
+	// HeaderRequestID carries the id of a non-idempotent request.
+	HeaderRequestID = "Filbertgap-Request-Id"
+
+	// cutBytes are declared but not sent when an answer is cut.
+	cutBytes        = 100
 	coldFactor      = 10
 	maxObservedBody = 64 << 10
 )
@@ -48,6 +60,8 @@
 // Upstream is a stand-in server. The zero value is ready to use.
 type Upstream struct {
 	mu       sync.Mutex
+	crash    func()
+	changed  chan struct{}
 	behavior Behavior
 	observed []Observed
 	running  int
@@ -60,6 +74,57 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.behavior = b
+	u.notify()
+}
+
+// OnCrash sets what ends the server when a request crashes it: it must close
+// the server's listener and connections, or end the process.
+func (u *Upstream) OnCrash(crash func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.crash = crash
+}
+
+// Await waits until at least n requests ran.
+func (u *Upstream) Await(ctx context.Context, n int) error {
+	for {
+		u.mu.Lock()
+		enough, changed := len(u.observed) >= n, u.wait()
+		u.mu.Unlock()
+		if enough {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Count returns how often a request with an id ran.
+func (u *Upstream) Count(id string) int {
+	n := 0
+	for _, o := range u.Observed() {
+		if o.Header.Get(HeaderRequestID) == id {
+			n++
+		}
+	}
+	return n
+}
+
+func (u *Upstream) wait() <-chan struct{} {
+	if u.changed == nil {
+		u.changed = make(chan struct{})
+	}
+	return u.changed
+}
+
+func (u *Upstream) notify() {
+	if u.changed != nil {
+		close(u.changed)
+		u.changed = nil
+	}
 }
 
 // Observed returns the requests that ran, oldest first.
@@ -121,9 +186,18 @@
 		return
 	}
 	u.record(r, body)
-	if !wait(r, b) {
+	if b.CrashPath != "" && r.URL.Path == b.CrashPath {
+		u.fail()
+	}
+	if !u.serve(r, b) {
 		return
 	}
+	if b.CutAnswers {
+		w.Header().Set("Content-Length", strconv.Itoa(b.AnswerBytes+cutBytes))
+		_, _ = w.Write(make([]byte, b.AnswerBytes))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = fmt.Fprintf(w, "%s %s workspace=%s\n", r.Method, r.URL.Path, r.Header.Get("Filbertgap-Workspace"))
 	if b.AnswerBytes > 0 {
 		_, _ = w.Write(make([]byte, b.AnswerBytes))
@@ -161,13 +235,36 @@
 		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Header: r.Header.Clone(),
 		Body: string(body), Workspace: r.Header.Get("Filbertgap-Workspace"),
 	})
+	u.notify()
 }
 
-// wait spends the service time. It reports false when the request was cancelled.
-func wait(r *http.Request, b Behavior) bool {
-	if b.Silent {
-		<-r.Context().Done()
-		return false
+// fail ends the server without an answer.
+func (u *Upstream) fail() {
+	u.mu.Lock()
+	crash := u.crash
+	u.mu.Unlock()
+	if crash != nil {
+		crash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// serve spends the service time. It reports false when the request was
+// cancelled. A silent upstream answers after its behavior has changed.
+func (u *Upstream) serve(r *http.Request, b Behavior) bool {
+	for b.Silent {
+		u.mu.Lock()
+		b = u.behavior
+		changed := u.wait()
+		u.mu.Unlock()
+		if !b.Silent {
+			break
+		}
+		select {
+		case <-r.Context().Done():
+			return false
+		case <-changed:
+		}
 	}
 	t := time.NewTimer(time.Duration(b.ServiceMillis) * time.Millisecond)
 	defer t.Stop()
