--- /dev/null
+++ b/internal/fgentry/fleet_test.go
@@ -0,0 +1,249 @@
+package fgentry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/filbertgap/filbertgap/internal/fgstandin"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgkey"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
+	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/internal/transport/fgpeer"
+	"github.com/filbertgap/filbertgap/pkg/fgapi"
+)
+
+const testTimeout = 20 * time.Second
+
+// fleet is a set of entries and upstreams on loopback connections.
+type fleet struct {
+	platform  *fgstandin.Platform
+	entries   []*Entry
+	ports     []*killablePort
+	upstreams []*fgstandin.Upstream
+	crashed   []string
+	mu        sync.Mutex
+	key       fgkey.Key
+}
+
+// killablePort is a peer port that can be closed as the death of its process
+// would close it.
+type killablePort struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (p *killablePort) Accept() (net.Conn, error) {
+	c, err := p.Listener.Accept()
+	if err == nil {
+		p.mu.Lock()
+		p.conns = append(p.conns, c)
+		p.mu.Unlock()
+	}
+	return c, err
+}
+
+func (p *killablePort) kill() {
+	_ = p.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+func newFleet(t *testing.T, entries, upstreams int) *fleet {
+	t.Helper()
+	f := &fleet{platform: &fgstandin.Platform{}, key: fgkey.New()}
+	change := fgconfig.Change{Put: []fgapi.Resource{
+		resource("west", &fgapi.RegionSpec{AvailabilityZones: []string{"west-a"}}),
+		resource("office", &fgapi.WorkspaceSpec{RequestsPerSecond: 1000, Burst: 1000}),
+		resource(f.key.ID(), &fgapi.KeySpec{Workspace: "office", Digest: f.key.Digest()}),
+		resource("orders", routeSpec("/orders", false, "GET", "POST")),
+		resource("browse", routeSpec("/browse", true, "GET", "POST")),
+	}}
+	for i := range upstreams {
+		name := fmt.Sprintf("up-%d", i)
+		change.Put = append(change.Put, resource(name, &fgapi.UpstreamSpec{
+			Address: f.startUpstream(t, name), Group: "all", Region: "west", AvailabilityZone: "west-a",
+		}))
+	}
+	for i := range entries {
+		f.startEntry(t, fmt.Sprintf("vm-%d", i))
+	}
+	f.apply(t, change)
+	for _, e := range f.entries {
+		await(t, e.members.Changed, func() bool { return len(e.members.State().All()) == entries })
+	}
+	return f
+}
+
+func resource(name string, spec fgapi.Spec) fgapi.Resource {
+	for _, k := range fgapi.Kinds() {
+		if fmt.Sprintf("%T", fgapi.NewSpec(k)) == fmt.Sprintf("%T", spec) {
+			return fgapi.Resource{APIVersion: fgapi.Version, Kind: k, Metadata: fgapi.Metadata{Name: name}, Spec: spec}
+		}
+	}
+	panic("unknown spec")
+}
+
+func routeSpec(prefix string, idempotent bool, methods ...string) *fgapi.RouteSpec {
+	return &fgapi.RouteSpec{
+		PathPrefix: prefix, Methods: methods, Access: fgapi.AccessKeyed, Idempotent: idempotent,
+		Deadline: fgapi.NewDuration(testTimeout), UpstreamGroup: "all",
+	}
+}
+
+func (f *fleet) startUpstream(t *testing.T, name string) string {
+	t.Helper()
+	u := &fgstandin.Upstream{}
+	s := httptest.NewServer(u)
+	t.Cleanup(s.Close)
+	var once sync.Once
+	u.OnCrash(func() {
+		once.Do(func() {
+			f.mu.Lock()
+			f.crashed = append(f.crashed, name)
+			f.mu.Unlock()
+			_ = s.Listener.Close()
+			s.CloseClientConnections()
+		})
+	})
+	f.upstreams = append(f.upstreams, u)
+	return s.Listener.Addr().String()
+}
+
+func (f *fleet) startEntry(t *testing.T, vm string) {
+	t.Helper()
+	secret, err := fgpeer.NewSecret([]byte("a fleet secret for tests"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const any = "127.0.0.1:0"
+	e := New(Settings{fleetSecret: secret, operatorToken: "token", raw: RawSettings{
+		VM: vm, Region: "west", AvailabilityZone: "west-a", DrainTimeout: time.Second,
+		CallerListen: any, PeerListen: any, OperatorListen: any, MetricsListen: any,
+	}}, f.platform, logr.Discard())
+	if err := e.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	port := &killablePort{Listener: e.listeners.peer}
+	e.listeners.peer = port
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	f.entries = append(f.entries, e)
+	f.ports = append(f.ports, port)
+}
+
+func (f *fleet) apply(t *testing.T, c fgconfig.Change) {
+	t.Helper()
+	g, err := f.entries[0].config.Submit(t.Context(), fgrequest.NewTraceID(), func(s *fgconfig.Snapshot) (json.RawMessage, error) {
+		if err := s.Check(c); err != nil {
+			return nil, err
+		}
+		return json.Marshal(c)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range f.entries {
+		await(t, e.config.Changed, func() bool { return e.config.Generation() >= g })
+	}
+}
+
+// await waits for a condition that can only change when a channel closes.
+func await(t *testing.T, changed func() <-chan struct{}, done func() bool) {
+	t.Helper()
+	limit := time.After(testTimeout)
+	for {
+		next := changed()
+		if done() {
+			return
+		}
+		select {
+		case <-next:
+		case <-limit:
+			t.Fatal("the fleet did not get ready")
+		}
+	}
+}
+
+// id returns an id that entry i alone may run.
+func (f *fleet) id(i int, suffix string) string {
+	return fgrequest.Prefix(f.entries[i].incarnation, fgrequest.WindowAt(time.Now())) + "-" + suffix
+}
+
+// answer is what a caller received.
+type answer struct {
+	status  int
+	code    string
+	outcome string
+	body    string
+	err     error
+}
+
+func (a answer) String() string {
+	return fmt.Sprintf("%d %s %s %v", a.status, a.code, a.outcome, a.err)
+}
+
+func (f *fleet) send(ctx context.Context, entry int, method, path, idempotencyKey, body string) answer {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.entries[entry].CallerAddress()+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+f.key.Reveal())
+	if idempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	return do(req)
+}
+
+func do(req *http.Request) answer {
+	transport := &http.Transport{DisableKeepAlives: true}
+	res, err := transport.RoundTrip(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	a := answer{status: res.StatusCode, body: string(data), err: err}
+	var p struct{ Code, Outcome string }
+	if json.Unmarshal(data, &p) == nil {
+		a.code, a.outcome = p.Code, p.Outcome
+	}
+	return a
+}
+
+// ran returns how often the upstreams ran requests with a path.
+func (f *fleet) ran(path string) int {
+	n := 0
+	for _, u := range f.upstreams {
+		for _, o := range u.Observed() {
+			if o.Path == path {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// crashedUpstreams returns the names of the upstreams that crashed.
+func (f *fleet) crashedUpstreams() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.crashed)
+}
--- /dev/null
+++ b/internal/fgentry/once_test.go
@@ -0,0 +1,220 @@
+package fgentry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/filbertgap/filbertgap/internal/fgstandin"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgkey"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
+	"github.com/filbertgap/filbertgap/internal/state/fgdedupe"
+)
+
+// Guards against a second run when the process that owns an id dies while its
+// request runs, and against a not-run that is not true.
+func TestOwnerDies(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.upstreams[0].SetBehavior(fgstandin.Behavior{Silent: true})
+	defer f.upstreams[0].SetBehavior(fgstandin.Behavior{})
+	id := f.id(0, "order-1")
+	first := make(chan answer, 1)
+	// The first attempt comes through the other VM, so that it breaks with the owner.
+	go func() { first <- f.send(t.Context(), 1, "POST", "/orders/1", id, "kit") }()
+	if err := f.upstreams[0].Await(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	f.ports[0].kill()
+	for i, a := range []answer{<-first, f.send(t.Context(), 1, "POST", "/orders/1", id, "kit")} {
+		if a.status != 503 || a.outcome != "unknown" {
+			t.Errorf("attempt %d: %v, want 503 unknown", i, a)
+		}
+	}
+	if n := f.upstreams[0].Count(id); n != 1 {
+		t.Errorf("the request ran %d times", n)
+	}
+}
+
+// Guards against a second run of a repeat that comes through any VM, while the
+// first attempt runs or later, and against a repeat without its own answer.
+func TestRepeats(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	for _, foreign := range []bool{false, true} {
+		for i := range 3 {
+			path := fmt.Sprintf("/orders/%v-%d", foreign, i)
+			id := f.id(0, fmt.Sprint(i))
+			if foreign {
+				id = fmt.Sprint("my own key ", i)
+			}
+			answers := make(chan answer, 8)
+			for n := range 8 {
+				go func() { answers <- f.send(t.Context(), n%2, "POST", path, id, "kit") }()
+			}
+			for range 8 {
+				if a := <-answers; a.status != 200 || a.body != "POST "+path+" workspace=office\n" {
+					t.Errorf("%s: %v %q", path, a, a.body)
+				}
+			}
+			if n := f.ran(path); n != 1 {
+				t.Errorf("%s ran %d times", path, n)
+			}
+			if a := f.send(t.Context(), 1, "POST", path, id, "other"); a.status != 422 || a.code != "id-reused" {
+				t.Errorf("%s with another body: %v", path, a)
+			}
+		}
+	}
+}
+
+// Guards against a request without an id that is sent twice by any part.
+func TestWithoutKeySentOnce(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	for _, method := range []string{"GET", "POST"} {
+		for _, u := range f.upstreams {
+			u.SetBehavior(fgstandin.Behavior{CrashPath: "/orders/lost-" + method})
+		}
+		if a := f.send(t.Context(), 0, method, "/orders/lost-"+method, "", ""); a.outcome != "unknown" {
+			t.Errorf("%s: %v, want unknown", method, a)
+		}
+		if n := f.ran("/orders/lost-" + method); n != 1 {
+			t.Errorf("%s: ran %d times", method, n)
+		}
+	}
+}
+
+// Guards against a run that is cancelled with its caller, and whose outcome is
+// lost with it.
+func TestCallerLeaves(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	for i := range 2 {
+		f.upstreams[0].SetBehavior(fgstandin.Behavior{Silent: true})
+		path, id := fmt.Sprintf("/orders/%d", i), f.id(0, fmt.Sprint("left-", i))
+		ctx, cancel := context.WithCancel(t.Context())
+		first := make(chan answer, 1)
+		go func() { first <- f.send(ctx, i, "POST", path, id, "kit") }()
+		if err := f.upstreams[0].Await(t.Context(), i+1); err != nil {
+			t.Fatal(err)
+		}
+		cancel()
+		if a := <-first; a.err == nil {
+			t.Fatalf("the cancelled attempt got %v", a)
+		}
+		f.upstreams[0].SetBehavior(fgstandin.Behavior{})
+		if a := f.send(t.Context(), 1, "POST", path, id, "kit"); a.status != 200 {
+			t.Errorf("repeat: %v, want the first attempt's answer", a)
+		}
+		if n := f.upstreams[0].Count(id); n != 1 {
+			t.Errorf("the request ran %d times", n)
+		}
+	}
+}
+
+// Guards against a refusal that blocks its id, and against a not-run after an
+// attempt that may have run.
+func TestRefusals(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	behave := f.upstreams[0].SetBehavior
+	for i, id := range []string{f.id(0, "shed"), "a foreign key"} {
+		path := fmt.Sprintf("/orders/shed-%d", i)
+		for vm := range 2 {
+			behave(fgstandin.Behavior{Draining: true})
+			if a := f.send(t.Context(), vm, "POST", path, id, "kit"); a.status != 503 || a.outcome != "not-run" {
+				t.Errorf("%s through VM %d, shed: %v, want 503 not-run", path, vm, a)
+			}
+		}
+		behave(fgstandin.Behavior{})
+		if a := f.send(t.Context(), 0, "POST", path, id, "kit"); a.status != 200 {
+			t.Errorf("%s after the refusal: %v", path, a)
+		}
+		if n := f.ran(path); n != 1 {
+			t.Errorf("%s ran %d times", path, n)
+		}
+	}
+	behave(fgstandin.Behavior{AnswerBytes: fgdedupe.MaxAnswerBytes})
+	long := f.id(1, "long")
+	if a := f.send(t.Context(), 0, "POST", "/orders/long", long, ""); a.status != 200 || len(a.body) <= fgdedupe.MaxAnswerBytes {
+		t.Errorf("long answer: %v, %d bytes", a, len(a.body))
+	}
+	if a := f.send(t.Context(), 0, "POST", "/orders/long", long, ""); a.code != "already-ran" || a.outcome != "ran" {
+		t.Errorf("repeat of a long answer: %v, want already-ran", a)
+	}
+	old := fgrequest.Prefix(f.entries[0].incarnation, 1) + "-x"
+	gone := fgrequest.Prefix(fgrequest.NewIncarnation(), 1) + "-x"
+	for _, id := range []string{old, gone} {
+		if a := f.send(t.Context(), 0, "POST", "/orders/x", id, ""); a.outcome != "unknown" {
+			t.Errorf("id %s: %v, want unknown", id, a)
+		}
+	}
+}
+
+// Guards against a not-run for a request that ran, when its repeat is refused
+// before the table is asked.
+func TestRefusedRepeatIsNotCalledNotRun(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	id := f.id(0, "ran")
+	if a := f.send(t.Context(), 0, "POST", "/orders/1", id, ""); a.status != 200 {
+		t.Fatal(a)
+	}
+	f.key = fgkey.New()
+	tests := []struct {
+		vm      int
+		id      string
+		outcome string
+	}{
+		{0, id, "unknown"},
+		{1, id, "unknown"},
+		{0, f.id(0, "never-seen"), "not-run"},
+		{0, f.id(1, "seen"), "unknown"},
+		{0, "foreign", "unknown"},
+		{0, "", "not-run"},
+	}
+	for _, tt := range tests {
+		if a := f.send(t.Context(), tt.vm, "POST", "/orders/1", tt.id, ""); a.code != "key-invalid" || a.outcome != tt.outcome {
+			t.Errorf("id %q through VM %d: %v, want %s", tt.id, tt.vm, a, tt.outcome)
+		}
+	}
+}
+
+// Guards against a foreign key that runs on two VMs after a lost answer of the
+// platform, and against a run without a record.
+func TestForeignKeys(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	tests := []struct {
+		name    string
+		faults  fgstandin.Faults
+		status  int
+		outcome string
+	}{
+		{"lost answer", fgstandin.Faults{LoseAnswers: 1}, 200, ""},
+		{"platform down", fgstandin.Faults{Down: true}, 503, "not-run"},
+		{"well", fgstandin.Faults{}, 200, ""},
+	}
+	for _, tt := range tests {
+		f.platform.SetFaults(tt.faults)
+		path := "/orders/" + tt.name[:4]
+		a := f.send(t.Context(), 0, "POST", path, tt.name, "kit")
+		if a.status != tt.status || a.outcome != tt.outcome {
+			t.Errorf("%s: %v, want %d %s", tt.name, a, tt.status, tt.outcome)
+		}
+		f.platform.SetFaults(fgstandin.Faults{})
+		if a := f.send(t.Context(), 1, "POST", path, tt.name, "kit"); a.status != 200 {
+			t.Errorf("%s, repeat through another VM: %v", tt.name, a)
+		}
+		if n := f.ran(path); n != 1 {
+			t.Errorf("%s: ran %d times", tt.name, n)
+		}
+	}
+}
+
+// Guards against more record writes than the fleet's budget.
+func TestForeignBudget(t *testing.T) {
+	var b writeBudget
+	taken := 0
+	for range 1000 {
+		if b.take(14) {
+			taken++
+		}
+	}
+	if taken < 14 || taken > 15 {
+		t.Errorf("%d writes at once, want 14", taken)
+	}
+}
--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -57,7 +57,7 @@
 		if a.err == nil {
 			return nil
 		}
-		last = a.err
+		last = afterTry(last, a.err)
 		if a.busy {
 			busy++
 		} else {
@@ -72,6 +72,16 @@
 	}
 }
 
+// afterTry returns the refusal after one more try: when an earlier one may have
+// run, a later not-run does not make the request not-run.
+func afterTry(earlier, err error) error {
+	var before, now *fgproblem.Problem
+	if !errors.As(earlier, &before) || !errors.As(err, &now) || before.Outcome() == fgproblem.NotRun {
+		return err
+	}
+	return now.WithOutcome(before.Outcome())
+}
+
 // mayRetry reports whether a call may be sent once more.
 func (e *Entry) mayRetry(ctx context.Context, c *call, last result, tries int) bool {
 	if tries >= maxTries || ctx.Err() != nil || !c.body.replayable() {
--- /dev/null
+++ b/internal/fgentry/send_test.go
@@ -0,0 +1,247 @@
+package fgentry
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/fgstandin"
+	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
+	"github.com/filbertgap/filbertgap/pkg/fgapi"
+)
+
+// place1 sends a call from entry 0 to entry 1 as the placement would.
+func (f *fleet) place1(t *testing.T, method, path string, once bool) (attempt, *httptest.ResponseRecorder) {
+	t.Helper()
+	e := f.entries[0]
+	r := httptest.NewRequest(method, path, strings.NewReader("kit")).WithContext(t.Context())
+	r.Header.Set("Authorization", "Bearer "+f.key.Reveal())
+	key, _ := e.config.State().Key(f.key.ID())
+	c := &call{
+		id: "trace", snapshot: e.config.State(), route: e.config.State().Route(path), key: key, workspace: "office",
+		once: once, upstreamID: "the-id", sendContext: t.Context(), admittedAt: time.Now(),
+		body: &requestBody{head: []byte("kit"), whole: true, length: 3},
+	}
+	m, _ := e.members.State().ByIncarnation(f.entries[1].incarnation.String())
+	w := httptest.NewRecorder()
+	return e.sendPeer(w, r, c, peerTarget{member: m, done: func(result) {}}), w
+}
+
+// Guards against an outcome that changes on its way through a peer, against a
+// second run there, and against the caller's key on the way.
+func TestPlaceHop(t *testing.T) {
+	tests := []struct {
+		name     string
+		behavior fgstandin.Behavior
+		want     result
+		outcome  string
+		ran      int
+	}{
+		{"answered", fgstandin.Behavior{}, resultAnswered, "", 1},
+		{"shed", fgstandin.Behavior{Draining: true}, resultShed, "not-run", 0},
+		{"lost", fgstandin.Behavior{CrashPath: "/orders/lost"}, resultLost, "unknown", 1},
+		{"gone", fgstandin.Behavior{}, resultShed, "not-run", 0},
+		{"peer-gone", fgstandin.Behavior{}, resultUnreached, "not-run", 0},
+	}
+	f := newFleet(t, 2, 1)
+	for _, tt := range tests {
+		f.upstreams[0].SetBehavior(tt.behavior)
+		if tt.name == "peer-gone" {
+			f.ports[1].kill()
+			f.entries[0].peers.Close()
+		}
+		a, w := f.place1(t, "POST", "/orders/"+tt.name, true)
+		outcome := ""
+		if a.err != nil {
+			f.entries[0].refuse(w, httptest.NewRequest("POST", "/", nil), &call{}, a.err)
+			outcome = w.Body.String()
+		}
+		if a.result != tt.want || !strings.Contains(outcome, tt.outcome) {
+			t.Errorf("%s: result %v, %v; want %v, %s", tt.name, a.result, a.err, tt.want, tt.outcome)
+		}
+		if n := f.ran("/orders/" + tt.name); n != tt.ran {
+			t.Errorf("%s: ran %d times, want %d", tt.name, n, tt.ran)
+		}
+	}
+	for _, o := range f.upstreams[0].Observed() {
+		if o.Workspace != "office" || o.Header.Get(fgstandin.HeaderRequestID) != "the-id" || o.Header.Get("Idempotency-Key") != "" {
+			t.Errorf("the upstream received %v", o.Header)
+		}
+		if text := fmt.Sprint(o); strings.Contains(text, f.key.Reveal()) || strings.Contains(text, "Filbertgap-Hop") {
+			t.Errorf("the upstream received %s", text)
+		}
+	}
+}
+
+// Guards against a not-run after two tries of which the first may have run.
+func TestLostThenUnreachedIsUnknown(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.upstreams[0].SetBehavior(fgstandin.Behavior{CrashPath: "/browse/x"})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.apply(t, fgconfig.Change{Put: []fgapi.Resource{resource("up-1", &fgapi.UpstreamSpec{
+		Address: l.Addr().String(), Group: "all", Region: "west", AvailabilityZone: "west-a",
+	})}})
+	_ = l.Close()
+	if a := f.send(t.Context(), 0, "GET", "/browse/x", "", ""); a.outcome != "unknown" {
+		t.Errorf("%v, want unknown", a)
+	}
+}
+
+// Guards against the loss of a request that can run elsewhere, and against a
+// second try of one that may have run.
+func TestRetries(t *testing.T) {
+	tests := []struct {
+		path     string
+		behavior fgstandin.Behavior
+		status   int
+		ran      int
+	}{
+		{"/browse/shed", fgstandin.Behavior{Draining: true}, 200, 1},
+		{"/orders/shed", fgstandin.Behavior{Draining: true}, 200, 1},
+		{"/browse/lost", fgstandin.Behavior{CrashPath: "/browse/lost"}, 200, 2},
+		{"/orders/lost", fgstandin.Behavior{CrashPath: "/orders/lost"}, 502, 1},
+	}
+	for _, tt := range tests {
+		f := newFleet(t, 1, 2)
+		f.upstreams[0].SetBehavior(tt.behavior)
+		if a := f.send(t.Context(), 0, "POST", tt.path, f.id(0, "x"), "kit"); a.status != tt.status {
+			t.Errorf("%s: %v, want %d", tt.path, a, tt.status)
+		}
+		if n := f.ran(tt.path); n != tt.ran {
+			t.Errorf("%s: ran %d times, want %d", tt.path, n, tt.ran)
+		}
+	}
+}
+
+// Guards against a cut answer that looks whole to the caller, directly and
+// through the process that owns the id.
+func TestCutAnswerAborts(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.upstreams[0].SetBehavior(fgstandin.Behavior{CutAnswers: true, AnswerBytes: 50_000})
+	for vm := range 2 {
+		for _, path := range []string{"/browse/x", "/orders/x"} {
+			id := f.id(0, fmt.Sprint("cut", vm))
+			if a := f.send(t.Context(), vm, "POST", path, id, ""); a.err == nil {
+				t.Errorf("%s through VM %d: %d bytes look whole", path, vm, len(a.body))
+			}
+			if path == "/orders/x" {
+				if a := f.send(t.Context(), vm, "POST", path, id, ""); a.outcome != "unknown" {
+					t.Errorf("repeat: %v, want unknown", a)
+				}
+			}
+		}
+	}
+}
+
+// Guards against the body of a refused request that is read as the next
+// request on the caller's connection.
+func TestRefusedBodyDoesNotDesynchronise(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	inner := "GET /browse/smuggled HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + f.key.Reveal() + "\r\n\r\n"
+	c, err := net.Dial("tcp", f.entries[0].CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprintf(c, "POST /orders/x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner)
+	br := bufio.NewReader(c)
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	if res.StatusCode != 401 || !res.Close {
+		t.Errorf("status %d, close %v; want 401 and close", res.StatusCode, res.Close)
+	}
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Errorf("after the refusal: %v, want the end of the connection", err)
+	}
+	if f.ran("/browse/smuggled") != 0 {
+		t.Error("the body ran as a request")
+	}
+}
+
+// Guards against a process that resumes after a pause and sends a request
+// whose key was withdrawn meanwhile.
+func TestPauseBeforeSending(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	e := f.entries[0]
+	key, _ := e.config.State().Key(f.key.ID())
+	f.apply(t, fgconfig.Change{Delete: []fgapi.Ref{{Kind: fgapi.KindKey, Name: f.key.ID()}}})
+	tests := []struct {
+		pause   time.Duration
+		refused bool
+	}{{0, false}, {time.Minute, true}}
+	for _, tt := range tests {
+		c := &call{key: key, workspace: "office", admittedAt: time.Now().Add(-tt.pause)}
+		if err := e.readmit(t.Context(), c); (err != nil) != tt.refused {
+			t.Errorf("after %v: error %v, want refused %v", tt.pause, err, tt.refused)
+		}
+	}
+}
+
+// Guards against a request that crashes one upstream after another when its
+// caller repeats it through several VMs, and against the conviction of the
+// requests beside it.
+func TestRequestThatCrashesUpstreams(t *testing.T) {
+	for _, route := range []string{"/browse", "/orders"} {
+		t.Run(route, func(t *testing.T) {
+			f := newFleet(t, 3, 5)
+			bad, innocent := route+"/bad", "/browse/innocent"
+			f.upstreams[0].SetBehavior(fgstandin.Behavior{Silent: true, CrashPath: bad})
+			for _, u := range f.upstreams[1:] {
+				u.SetBehavior(fgstandin.Behavior{CrashPath: bad})
+			}
+			var wg sync.WaitGroup
+			answers := make(chan answer, 4)
+			for range 4 {
+				wg.Go(func() { answers <- f.send(t.Context(), 0, "GET", innocent, "", "") })
+			}
+			if err := f.upstreams[0].Await(t.Context(), 4); err != nil {
+				t.Fatal(err)
+			}
+			var last answer
+			for n := range 9 {
+				last = f.send(t.Context(), n%3, "POST", bad, "", "kit")
+			}
+			if last.code != "request-crashes-upstreams" || last.outcome != "not-run" {
+				t.Errorf("the last repeat got %v", last)
+			}
+			crashed := f.crashedUpstreams()
+			if len(crashed) > 2 {
+				t.Errorf("%d upstreams crashed, want at most 2", len(crashed))
+			}
+			wg.Wait()
+			// The placement keeps requests off dead upstreams; here they are removed.
+			gone := fgconfig.Change{}
+			for _, name := range crashed {
+				gone.Delete = append(gone.Delete, fgapi.Ref{Kind: fgapi.KindUpstream, Name: name})
+			}
+			f.apply(t, gone)
+			for vm := range 3 {
+				if a := f.send(t.Context(), vm, "GET", innocent, "", ""); a.status != 200 {
+					t.Errorf("innocent request through VM %d: %v", vm, a)
+				}
+			}
+			for _, e := range f.entries {
+				empty := sha256.Sum256(nil)
+				c := digestOf("office", "browse", "GET", innocent, "", string(empty[:]))
+				if s := e.suspects.Status(fgsuspect.Fingerprint(c)); s != fgsuspect.Clear {
+					t.Errorf("the innocent request's status is %v", s)
+				}
+			}
+		})
+	}
+}
