--- a/internal/fgentry/once_test.go
+++ b/internal/fgentry/once_test.go
@@ -84,9 +84,12 @@
 // Guards against a run that is cancelled with its caller, and whose outcome is
 // lost with it.
 func TestCallerLeaves(t *testing.T) {
+	// The answer is longer than what the buffers towards a closed connection
+	// take, and short enough to be kept.
+	const leftAnswerBytes = 60_000
 	f := newFleet(t, 2, 1)
 	for i := range 2 {
-		f.upstreams[0].SetBehavior(fgstandin.Behavior{Silent: true})
+		f.upstreams[0].SetBehavior(fgstandin.Behavior{Silent: true, AnswerBytes: leftAnswerBytes})
 		path, id := fmt.Sprintf("/orders/%d", i), f.id(0, fmt.Sprint("left-", i))
 		ctx, cancel := context.WithCancel(t.Context())
 		first := make(chan answer, 1)
@@ -98,9 +101,9 @@
 		if a := <-first; a.err == nil {
 			t.Fatalf("the cancelled attempt got %v", a)
 		}
-		f.upstreams[0].SetBehavior(fgstandin.Behavior{})
-		if a := f.send(t.Context(), 1, "POST", path, id, "kit"); a.status != 200 {
-			t.Errorf("repeat: %v, want the first attempt's answer", a)
+		f.upstreams[0].SetBehavior(fgstandin.Behavior{AnswerBytes: leftAnswerBytes})
+		if a := f.send(t.Context(), 1, "POST", path, id, "kit"); a.status != 200 || len(a.body) < leftAnswerBytes {
+			t.Errorf("repeat: %v, %d bytes; want the first attempt's answer", a, len(a.body))
 		}
 		if n := f.upstreams[0].Count(id); n != 1 {
 			t.Errorf("the request ran %d times", n)
--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -114,6 +114,11 @@
 	case localTarget:
 		return e.sendLocal(w, r, c, t), nil
 	case peerTarget:
+		if c.hop == hopPlace {
+			// A request makes one place hop at most, so that it never circles.
+			t.done(resultCancelled)
+			return attempt{}, noCapacity("no upstream of this region has capacity")
+		}
 		return e.sendPeer(w, r, c, t), nil
 	default:
 		return attempt{}, fmt.Errorf("unknown target %T", t)
--- a/internal/fgentry/send_test.go
+++ b/internal/fgentry/send_test.go
@@ -129,12 +129,13 @@
 // through the process that owns the id.
 func TestCutAnswerAborts(t *testing.T) {
 	f := newFleet(t, 2, 1)
-	f.upstreams[0].SetBehavior(fgstandin.Behavior{CutAnswers: true, AnswerBytes: 50_000})
-	for vm := range 2 {
+	for n := range 4 {
+		vm, chunked := n%2, n > 1
+		f.upstreams[0].SetBehavior(fgstandin.Behavior{CutAnswers: true, CutChunked: chunked, AnswerBytes: 50_000})
 		for _, path := range []string{"/browse/x", "/orders/x"} {
-			id := f.id(0, fmt.Sprint("cut", vm))
+			id := f.id(0, fmt.Sprint("cut", n))
 			if a := f.send(t.Context(), vm, "POST", path, id, ""); a.err == nil {
-				t.Errorf("%s through VM %d: %d bytes look whole", path, vm, len(a.body))
+				t.Errorf("%s through VM %d, chunked %v: %d bytes look whole", path, vm, chunked, len(a.body))
 			}
 			if path == "/orders/x" {
 				if a := f.send(t.Context(), vm, "POST", path, id, ""); a.outcome != "unknown" {
@@ -155,6 +156,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
 	_, _ = fmt.Fprintf(c, "POST /orders/x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner)
 	br := bufio.NewReader(c)
 	res, err := http.ReadResponse(br, nil)
--- a/internal/fgstandin/upstream.go
+++ b/internal/fgstandin/upstream.go
@@ -29,6 +29,9 @@
 	AnswerBytes int `json:"answerBytes"`
 	// CutAnswers breaks the connection within each answer.
 	CutAnswers bool `json:"cutAnswers"`
+	// CutChunked makes the cut answers chunked, instead of shorter than the
+	// length that they declare.
+	CutChunked bool `json:"cutChunked"`
 	// CrashPath is a path whose requests crash the upstream after it has read
 	// them.
 	CrashPath string `json:"crashPath"`
@@ -193,7 +196,9 @@
 		return
 	}
 	if b.CutAnswers {
-		w.Header().Set("Content-Length", strconv.Itoa(b.AnswerBytes+cutBytes))
+		if !b.CutChunked {
+			w.Header().Set("Content-Length", strconv.Itoa(b.AnswerBytes+cutBytes))
+		}
 		_, _ = w.Write(make([]byte, b.AnswerBytes))
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
