Wait for forwarded requests when an entry stops

Cause: the stop waited for callers' connections only, and the peer port was closed with requests of peers in flight: their callers got unknown. With the wait off, TestStopWaitsForForwarded got 503 unknown; with the counter off, TestInflightWait failed. Also tested: a connection idle for 6 s is not used (one connection instead of two with IdleConnTimeout off).

--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -229,6 +229,9 @@
 		e.logger.Info("requests still in flight at the drain timeout", "error", err.Error())
 		_ = caller.Close()
 	}
+	if err := e.forwarded.wait(drain); err != nil {
+		e.logger.Info("forwarded requests still in flight at the drain timeout", "error", err.Error())
+	}
 	e.submitQuietly(ctx, "remove-"+e.incarnation.String(), fgmember.BuildRemove(e.self()))
 	e.logger.Info("entry stopped", "vm", e.settings.raw.VM)
 }
--- a/internal/fgentry/fleet_test.go
+++ b/internal/fgentry/fleet_test.go
@@ -31,6 +31,7 @@
 	platform  *fgstandin.Platform
 	entries   []*Entry
 	ports     []*killablePort
+	stops     []context.CancelFunc
 	upstreams []*fgstandin.Upstream
 	crashed   []string
 	mu        sync.Mutex
@@ -133,7 +134,7 @@
 	}
 	const any = "127.0.0.1:0"
 	e := New(Settings{fleetSecret: secret, operatorToken: "token", raw: RawSettings{
-		VM: vm, Region: "west", AvailabilityZone: "west-a", DrainTimeout: time.Second,
+		VM: vm, Region: "west", AvailabilityZone: "west-a", DrainTimeout: testTimeout,
 		CallerListen: any, PeerListen: any, OperatorListen: any, MetricsListen: any,
 	}}, f.platform, logr.Discard())
 	if err := e.Listen(); err != nil {
@@ -147,6 +148,7 @@
 	t.Cleanup(func() { cancel(); <-done })
 	f.entries = append(f.entries, e)
 	f.ports = append(f.ports, port)
+	f.stops = append(f.stops, cancel)
 }
 
 func (f *fleet) apply(t *testing.T, c fgconfig.Change) {
--- a/internal/fgentry/forward.go
+++ b/internal/fgentry/forward.go
@@ -123,6 +123,8 @@
 
 // handleForwarded serves a request that a peer forwarded.
 func (e *Entry) handleForwarded(w http.ResponseWriter, r *http.Request) {
+	e.forwarded.enter()
+	defer e.forwarded.leave()
 	c := e.newCall(w, r)
 	c.hop = hop(r.Header.Get(headerHop))
 	e.finish(w, r, c, e.serveForwarded(w, r, c))
--- a/internal/fgentry/once.go
+++ b/internal/fgentry/once.go
@@ -22,6 +22,8 @@
 	suspects fgsuspect.Table
 	bodies   bodyBudget
 	foreign  writeBudget
+	// forwarded are the requests of peers in flight here.
+	forwarded inflight
 }
 
 // serveOnce runs a call that must not run twice. It recognises repeats by the
--- a/internal/fgentry/send_test.go
+++ b/internal/fgentry/send_test.go
@@ -10,7 +10,9 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
@@ -194,6 +196,53 @@
 	}
 }
 
+// Guards against a planned stop that cuts a request which a peer forwarded.
+func TestStopWaitsForForwarded(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.upstreams[0].SetBehavior(fgstandin.Behavior{Silent: true})
+	first := make(chan answer, 1)
+	go func() { first <- f.send(t.Context(), 1, "POST", "/orders/1", f.id(0, "x"), "kit") }()
+	if err := f.upstreams[0].Await(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	f.stops[0]()
+	members := f.entries[1].members
+	await(t, members.Changed, func() bool { m, ok := members.State().Member("vm-0"); return !ok || m.Leaving })
+	waited := make(chan error, 1)
+	go func() { waited <- f.entries[0].forwarded.wait(t.Context()) }()
+	select {
+	case <-waited:
+		t.Error("the stop does not see the forwarded request")
+	default:
+	}
+	f.upstreams[0].SetBehavior(fgstandin.Behavior{})
+	if a := <-first; a.status != 200 {
+		t.Errorf("%v, want 200", a)
+	}
+	await(t, members.Changed, func() bool { _, ok := members.State().Member("vm-0"); return !ok })
+}
+
+// Guards against a stop that returns while a forwarded request is in flight.
+func TestInflightWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var i inflight
+		i.enter()
+		i.enter()
+		var done atomic.Bool
+		go func() { _ = i.wait(t.Context()); done.Store(true) }()
+		i.leave()
+		synctest.Wait()
+		if done.Load() {
+			t.Error("the wait ended with a request in flight")
+		}
+		i.leave()
+		synctest.Wait()
+		if !done.Load() {
+			t.Error("the wait did not end")
+		}
+	})
+}
+
 // Guards against a request that crashes one upstream after another when its
 // caller repeats it through several VMs, and against the conviction of the
 // requests beside it.
--- a/internal/transport/fgupstream/client_test.go
+++ b/internal/transport/fgupstream/client_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // script is a raw server: it answers the first request of each connection and
@@ -234,6 +236,44 @@
 	}
 }
 
+// Guards against the use of a connection that was idle for long, which a
+// device on the way may have forgotten.
+func TestIdleConnectionIsNotUsed(t *testing.T) {
+	tests := []struct {
+		idle  time.Duration
+		dials int
+	}{{4 * time.Second, 1}, {6 * time.Second, 2}}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			dials := 0
+			c := New(Options{Dial: func(context.Context, string, string) (net.Conn, error) {
+				dials++
+				near, far := net.Pipe()
+				go answerAll(far)
+				return near, nil
+			}})
+			warm(t, c, "upstream:80")
+			time.Sleep(tt.idle)
+			warm(t, c, "upstream:80")
+			if dials != tt.dials {
+				t.Errorf("idle for %v: %d connections, want %d", tt.idle, dials, tt.dials)
+			}
+			c.Close()
+		})
+	}
+}
+
+func answerAll(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
 // Guards against an answer that arrives late for another request: a connection
 // is not used after its request was cancelled.
 func TestCancelledConnectionIsNotReused(t *testing.T) {
