Drop tests that others cover

Dropped, each seen to fail together with a test that stays: clock set back (TestRunsAtMostOnce), long answer in the table (TestRefusals), cut answers of the client (TestCutAnswerAborts), wait of the in-flight counter (TestStopWaitsForForwarded), no second sending without a key (rows of TestRetries). A test of 600 requests against a server that closes idle connections at once was tried and left out: it passed with the mechanism off.

--- a/internal/fgentry/once_test.go
+++ b/internal/fgentry/once_test.go
@@ -65,22 +65,6 @@
 	}
 }
 
-// Guards against a request without an id that is sent twice by any part.
-func TestWithoutKeySentOnce(t *testing.T) {
-	f := newFleet(t, 1, 3)
-	for _, method := range []string{"GET", "POST"} {
-		for _, u := range f.upstreams {
-			u.SetBehavior(fgstandin.Behavior{CrashPath: "/orders/lost-" + method})
-		}
-		if a := f.send(t.Context(), 0, method, "/orders/lost-"+method, "", ""); a.outcome != "unknown" {
-			t.Errorf("%s: %v, want unknown", method, a)
-		}
-		if n := f.ran("/orders/lost-" + method); n != 1 {
-			t.Errorf("%s: ran %d times", method, n)
-		}
-	}
-}
-
 // Guards against a run that is cancelled with its caller, and whose outcome is
 // lost with it.
 func TestCallerLeaves(t *testing.T) {
--- a/internal/fgentry/send_test.go
+++ b/internal/fgentry/send_test.go
@@ -10,9 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
@@ -102,27 +100,35 @@
 }
 
 // Guards against the loss of a request that can run elsewhere, and against a
-// second try of one that may have run.
+// second try of one that may have run, with or without an id.
 func TestRetries(t *testing.T) {
+	shed := fgstandin.Behavior{Draining: true}
 	tests := []struct {
-		path     string
-		behavior fgstandin.Behavior
-		status   int
-		ran      int
+		method, path string
+		behavior     fgstandin.Behavior
+		status       int
+		ran          int
 	}{
-		{"/browse/shed", fgstandin.Behavior{Draining: true}, 200, 1},
-		{"/orders/shed", fgstandin.Behavior{Draining: true}, 200, 1},
-		{"/browse/lost", fgstandin.Behavior{CrashPath: "/browse/lost"}, 200, 2},
-		{"/orders/lost", fgstandin.Behavior{CrashPath: "/orders/lost"}, 502, 1},
+		{"POST", "/browse/shed", shed, 200, 1},
+		{"POST", "/orders/shed", shed, 200, 1},
+		{"GET", "/browse/lost", fgstandin.Behavior{CrashPath: "/browse/lost"}, 200, 2},
+		{"GET", "/orders/lost", fgstandin.Behavior{CrashPath: "/orders/lost"}, 502, 1},
+		{"POST", "/orders/lost", fgstandin.Behavior{CrashPath: "/orders/lost"}, 502, 1},
 	}
 	for _, tt := range tests {
-		f := newFleet(t, 1, 2)
-		f.upstreams[0].SetBehavior(tt.behavior)
-		if a := f.send(t.Context(), 0, "POST", tt.path, f.id(0, "x"), "kit"); a.status != tt.status {
-			t.Errorf("%s: %v, want %d", tt.path, a, tt.status)
-		}
-		if n := f.ran(tt.path); n != tt.ran {
-			t.Errorf("%s: ran %d times, want %d", tt.path, n, tt.ran)
+		for _, suffix := range []string{"", "x"} {
+			f := newFleet(t, 1, 2)
+			f.upstreams[0].SetBehavior(tt.behavior)
+			id := ""
+			if suffix != "" {
+				id = f.id(0, suffix)
+			}
+			if a := f.send(t.Context(), 0, tt.method, tt.path, id, ""); a.status != tt.status {
+				t.Errorf("%s %s, id %q: %v, want %d", tt.method, tt.path, id, a, tt.status)
+			}
+			if n := f.ran(tt.path); n != tt.ran {
+				t.Errorf("%s %s, id %q: ran %d times, want %d", tt.method, tt.path, id, n, tt.ran)
+			}
 		}
 	}
 }
@@ -222,27 +228,6 @@
 	await(t, members.Changed, func() bool { _, ok := members.State().Member("vm-0"); return !ok })
 }
 
-// Guards against a stop that returns while a forwarded request is in flight.
-func TestInflightWait(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		var i inflight
-		i.enter()
-		i.enter()
-		var done atomic.Bool
-		go func() { _ = i.wait(t.Context()); done.Store(true) }()
-		i.leave()
-		synctest.Wait()
-		if done.Load() {
-			t.Error("the wait ended with a request in flight")
-		}
-		i.leave()
-		synctest.Wait()
-		if !done.Load() {
-			t.Error("the wait did not end")
-		}
-	})
-}
-
 // Guards against a request that crashes one upstream after another when its
 // caller repeats it through several VMs, and against the conviction of the
 // requests beside it.
--- a/internal/state/fgdedupe/table_test.go
+++ b/internal/state/fgdedupe/table_test.go
@@ -141,21 +141,6 @@
 	}
 }
 
-// Guards against a dropped window that a clock set back opens again.
-func TestClockSetBack(t *testing.T) {
-	table := New(Options{})
-	k := NewKey("w", "id", fgrequest.WindowAt(start))
-	c, _, err := table.Begin(k, Digest{}, start)
-	if err != nil {
-		t.Fatal(err)
-	}
-	table.Finish(k, c, Unknown{})
-	table.Seen("other", fgrequest.WindowAt(start), start.Add(6*fgrequest.WindowLength))
-	if _, _, err := table.Begin(k, Digest{}, start); !errors.Is(err, ErrWindow) {
-		t.Errorf("error %v, want ErrWindow", err)
-	}
-}
-
 // Guards against a full table that forgets, and against one workspace that
 // takes all of it.
 func TestFull(t *testing.T) {
@@ -208,20 +193,3 @@
 		}
 	}
 }
-
-// Guards against a stored answer that is cut at the bound and looks whole.
-func TestLongAnswerIsNotKept(t *testing.T) {
-	tests := []struct {
-		bytes int
-		kept  bool
-	}{{MaxAnswerBytes, true}, {MaxAnswerBytes + 1, false}}
-	for _, tt := range tests {
-		table := New(Options{})
-		k := NewKey("w", "id", fgrequest.WindowAt(start))
-		c, _, _ := table.Begin(k, Digest{}, start)
-		table.Finish(k, c, NewAnswer(http.StatusOK, nil, make([]byte, tt.bytes)))
-		if _, kept := c.Outcome().(Answer); kept != tt.kept {
-			t.Errorf("%d bytes: kept %v", tt.bytes, kept)
-		}
-	}
-}
--- a/internal/transport/fgupstream/client_test.go
+++ b/internal/transport/fgupstream/client_test.go
@@ -210,32 +210,6 @@
 
 func (c *failingConn) Write([]byte) (int, error) { return c.accept, errors.New("broken") }
 
-// Guards against a cut answer that looks whole, and against the reuse of a
-// connection whose request was cut or cancelled.
-func TestCutAnswers(t *testing.T) {
-	tests := []struct{ name, answer string }{
-		{"short body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort"},
-		{"broken chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsh"},
-		{"no last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n"},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			s := newScript(t, func(c net.Conn) { _, _ = io.WriteString(c, tt.answer) })
-			c := New(Options{})
-			defer c.Close()
-			warm(t, c, s.address())
-			res, _, err := c.RoundTrip(t.Context(), s.address(), newRequest(t, http.MethodPost, "x", "body"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			if _, err := io.ReadAll(res.Body); err == nil {
-				t.Error("the cut answer was read without an error")
-			}
-			_ = res.Body.Close()
-		})
-	}
-}
-
 // Guards against the use of a connection that was idle for long, which a
 // device on the way may have forgotten.
 func TestIdleConnectionIsNotUsed(t *testing.T) {
