Wait while a suspect must run alone, instead of refusing

Cause: after a crash beside a page that many read, that page was a suspect, and all but one of its readers were refused until the suspicion was cleared. They now wait for the running one, at most 2 s, and run when it has cleared the suspicion. TestHotSuspectIsServed guards it.

--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,9 +17,9 @@
 const (
 	// maxTries bounds how often a request is sent.
 	maxTries = 2
-	// maxBusyPlacements bounds the targets that are passed over because a
-	// suspect must run alone.
-	maxBusyPlacements = 8
+	// maxAloneWait bounds how long a request waits because a suspect must run
+	// alone.
+	maxAloneWait = 2 * time.Second
 	// maxAdmissionAge is how old a token may be when its request is sent. An
 	// older one means that the process was paused, or queued the request.
 	maxAdmissionAge = 100 * time.Millisecond
@@ -33,7 +34,9 @@
 	names []string
 	// busy means that nothing was sent, because a suspect must run alone.
 	busy bool
-	err  error
+	// running means that the call is a suspect and an equal request runs now.
+	running bool
+	err     error
 }
 
 // run admits a call, places it and sends it to its target.
@@ -44,30 +47,60 @@
 		}
 	}
 	c.admittedAt = time.Now()
-	exclude := map[string]bool{}
+	return e.sendTries(w, r, c)
+}
+
+// sendTries sends an admitted call, again where that is safe.
+func (e *Entry) sendTries(w http.ResponseWriter, r *http.Request, c *call) error {
+	tried := map[string]bool{}
 	var last error
-	for tries, busy := 0, 0; ; {
-		a, err := e.placeAndSend(w, r, c, exclude)
-		if err != nil && last != nil {
+	for tries := 1; ; tries++ {
+		a, err := e.sendAlone(w, r, c, tried)
+		switch {
+		case err != nil && last != nil:
 			return last
-		}
-		if err != nil {
+		case err != nil:
 			return err
-		}
-		if a.err == nil {
+		case a.err == nil:
 			return nil
 		}
 		last = afterTry(last, a.err)
-		if a.busy {
-			busy++
-		} else {
-			tries++
-		}
-		if busy >= maxBusyPlacements || !a.busy && !e.mayRetry(r.Context(), c, a.result, tries) {
+		if !e.mayRetry(r.Context(), c, a.result, tries) {
 			return last
 		}
 		for _, name := range a.names {
-			exclude[name] = true
+			tried[name] = true
+		}
+	}
+}
+
+// sendAlone sends a call once. While a suspect must run alone, it tries the
+// other targets, and then waits.
+func (e *Entry) sendAlone(w http.ResponseWriter, r *http.Request, c *call, tried map[string]bool) (attempt, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), maxAloneWait)
+	defer cancel()
+	exclude := maps.Clone(tried)
+	var busy error
+	for {
+		changed := e.suspects.Changed()
+		a, err := e.placeAndSend(w, r, c, exclude)
+		if !a.busy && (err == nil || busy == nil) {
+			return a, err
+		}
+		if a.busy {
+			busy = a.err
+		}
+		if a.busy && !a.running {
+			for _, name := range a.names {
+				exclude[name] = true
+			}
+			continue
+		}
+		select {
+		case <-changed:
+			exclude = maps.Clone(tried)
+		case <-ctx.Done():
+			return attempt{}, busy
 		}
 	}
 }
@@ -207,7 +240,8 @@
 	defer func() { t.done(a.result) }()
 	run, err := e.suspects.Enter(t.upstream.Name(), c.fingerprint)
 	switch {
-	case errors.Is(err, fgsuspect.ErrBusy):
+	case errors.Is(err, fgsuspect.ErrBusy), errors.Is(err, fgsuspect.ErrRunning):
+		a.running = errors.Is(err, fgsuspect.ErrRunning)
 		a.busy, a.err = true, noCapacity("a request that may crash upstreams runs alone").WithRetryAfter(shedRetryAfter)
 		return a
 	case err != nil:
--- a/internal/fgentry/send_test.go
+++ b/internal/fgentry/send_test.go
@@ -228,6 +228,32 @@
 	await(t, members.Changed, func() bool { _, ok := members.State().Member("vm-0"); return !ok })
 }
 
+// Guards against refusals of a page that many read, after one of its requests
+// was in flight beside a crash.
+func TestHotSuspectIsServed(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	empty := sha256.Sum256(nil)
+	hot := fgsuspect.Fingerprint(digestOf("office", "browse", "GET", "/browse/hot", "", string(empty[:])))
+	f.entries[0].suspects.Merge([]fgsuspect.State{fgsuspect.NewState(hot, fgsuspect.Suspect)})
+	f.upstreams[0].SetBehavior(fgstandin.Behavior{Silent: true})
+	answers := make(chan answer, 20)
+	for range cap(answers) {
+		go func() { answers <- f.send(t.Context(), 0, "GET", "/browse/hot", "", "") }()
+	}
+	if err := f.upstreams[0].Await(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	if n := f.ran("/browse/hot"); n != 1 {
+		t.Errorf("%d suspects run at once", n)
+	}
+	f.upstreams[0].SetBehavior(fgstandin.Behavior{})
+	for range cap(answers) {
+		if a := <-answers; a.status != 200 {
+			t.Errorf("%v, want 200", a)
+		}
+	}
+}
+
 // Guards against a request that crashes one upstream after another when its
 // caller repeats it through several VMs, and against the conviction of the
 // requests beside it.
--- a/internal/state/fgsuspect/table.go
+++ b/internal/state/fgsuspect/table.go
@@ -23,6 +23,8 @@
 	ErrConvicted = merry.Sentinel("the request crashes upstreams")
 	// ErrBusy means that the request must not run beside what runs now.
 	ErrBusy = merry.Sentinel("the request must not run beside others on this upstream")
+	// ErrRunning means that an equal request, a suspect, runs now.
+	ErrRunning = merry.Sentinel("an equal request that may crash upstreams runs now")
 )
 
 // Fingerprint identifies equal requests.
@@ -80,6 +82,25 @@
 	// sweepAt is when the next search for expired entries may find one.
 	sweepAt time.Time
 	runs    map[string]map[*Run]struct{}
+	changed chan struct{}
+}
+
+// Changed returns a channel that is closed when a request that got ErrBusy or
+// ErrRunning may try again.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.changed == nil {
+		t.changed = make(chan struct{})
+	}
+	return t.changed
+}
+
+func (t *Table) notify() {
+	if t.changed != nil {
+		close(t.changed)
+		t.changed = nil
+	}
 }
 
 // Status returns what is known of a fingerprint.
@@ -112,7 +133,10 @@
 		return nil, merry.Wrap(ErrConvicted)
 	}
 	alone := e != nil
-	if alone && (len(t.runs[upstream]) > 0 || e.running != nil) || t.reserved(upstream) {
+	if alone && e.running != nil {
+		return nil, merry.Wrap(ErrRunning)
+	}
+	if alone && len(t.runs[upstream]) > 0 || t.reserved(upstream) {
 		return nil, merry.Wrap(ErrBusy)
 	}
 	r := &Run{table: t, upstream: upstream, fingerprint: f, alone: alone}
@@ -150,6 +174,7 @@
 	delete(t.runs[r.upstream], r)
 	if len(t.runs[r.upstream]) == 0 {
 		delete(t.runs, r.upstream)
+		t.notify()
 	}
 	e := t.get(r.fingerprint)
 	if e == nil {
