Keep an upstream free for a suspect that waits for it

Cause: under steady load no upstream is ever empty, so a suspect would wait in vain. One upstream at a time takes no other requests while a suspect waits for it, for at most 1 s. With the reservation off, TestSuspectNeedsEmptyUpstream failed.

--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -20,6 +20,8 @@
 	// maxAloneWait bounds how long a request waits because a suspect must run
 	// alone.
 	maxAloneWait = 2 * time.Second
+	// aloneInterval separates attempts while nothing is heard of a change.
+	aloneInterval = 250 * time.Millisecond
 	// maxAdmissionAge is how old a token may be when its request is sent. An
 	// older one means that the process was paused, or queued the request.
 	maxAdmissionAge = 100 * time.Millisecond
@@ -99,6 +101,8 @@
 		select {
 		case <-changed:
 			exclude = maps.Clone(tried)
+		case <-time.After(aloneInterval):
+			exclude = maps.Clone(tried)
 		case <-ctx.Done():
 			return attempt{}, busy
 		}
--- a/internal/state/fgsuspect/table.go
+++ b/internal/state/fgsuspect/table.go
@@ -12,6 +12,8 @@
 const (
 	// Lifetime is how long a suspicion or conviction holds.
 	Lifetime = 10 * time.Minute
+	// reservationLifetime ends a reservation whose request has given up.
+	reservationLifetime = time.Second
 	// maxEntries bounds the table. Each entry stands for a request in flight at
 	// a crashed upstream.
 	maxEntries = 4096
@@ -83,6 +85,14 @@
 	sweepAt time.Time
 	runs    map[string]map[*Run]struct{}
 	changed chan struct{}
+	awaited reservation
+}
+
+// reservation keeps an upstream for a suspect that waits for it to be empty.
+type reservation struct {
+	upstream    string
+	fingerprint Fingerprint
+	expires     time.Time
 }
 
 // Changed returns a channel that is closed when a request that got ErrBusy or
@@ -136,23 +146,43 @@
 	if alone && e.running != nil {
 		return nil, merry.Wrap(ErrRunning)
 	}
-	if alone && len(t.runs[upstream]) > 0 || t.reserved(upstream) {
+	if t.reserved(upstream, f) {
+		return nil, merry.Wrap(ErrBusy)
+	}
+	if alone && len(t.runs[upstream]) > 0 {
+		t.await(upstream, f)
 		return nil, merry.Wrap(ErrBusy)
 	}
 	r := &Run{table: t, upstream: upstream, fingerprint: f, alone: alone}
 	if alone {
 		e.running = r
+		if t.awaited.fingerprint == f {
+			t.awaited = reservation{}
+		}
 	}
 	t.add(r)
 	return r, nil
 }
 
-// reserved reports whether a suspect runs alone on an upstream.
-func (t *Table) reserved(upstream string) bool {
+// reserved reports whether a suspect runs alone on an upstream, or another
+// request waits to do so.
+func (t *Table) reserved(upstream string, f Fingerprint) bool {
 	for r := range t.runs[upstream] {
-		return r.alone
+		if r.alone {
+			return true
+		}
+	}
+	a := t.awaited
+	return a.upstream == upstream && a.fingerprint != f && time.Now().Before(a.expires)
+}
+
+// await keeps other requests off an upstream until it is empty for a suspect.
+// One upstream at a time is kept so.
+func (t *Table) await(upstream string, f Fingerprint) {
+	if time.Now().Before(t.awaited.expires) {
+		return
 	}
-	return false
+	t.awaited = reservation{upstream: upstream, fingerprint: f, expires: time.Now().Add(reservationLifetime)}
 }
 
 func (t *Table) add(r *Run) {
--- a/internal/state/fgsuspect/table_test.go
+++ b/internal/state/fgsuspect/table_test.go
@@ -68,6 +68,11 @@
 	if _, err := table.Enter("u1", Fingerprint{1}); !errors.Is(err, ErrBusy) {
 		t.Errorf("error %v, want ErrBusy", err)
 	}
+	// The upstream is kept for the suspect, which otherwise never finds it empty.
+	if _, err := table.Enter("u1", Fingerprint{3}); !errors.Is(err, ErrBusy) {
+		t.Errorf("another request: error %v, want ErrBusy", err)
+	}
+	mustEnter(t, &table, "u2", Fingerprint{3})
 	other.Leave(true)
 	mustEnter(t, &table, "u1", Fingerprint{1})
 }
