Send the last answers to peers before the peer port closes

Cause: TestStopWaitsForForwarded failed once in 5 runs of the package: the handler had returned, but net/http had not yet sent its answer when the stop closed the connections. The peer server now shuts down gracefully, for at most 1 s. Ruled out: flushing in the handler, since the end of a chunked answer is sent after it.

--- a/internal/fgentry/fleet_test.go
+++ b/internal/fgentry/fleet_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgkey"
@@ -28,10 +28,12 @@
 
 // fleet is a set of entries and upstreams on loopback connections.
 type fleet struct {
-	platform  *fgstandin.Platform
-	entries   []*Entry
-	ports     []*killablePort
-	stops     []context.CancelFunc
+	platform *fgstandin.Platform
+	entries  []*Entry
+	ports    []*killablePort
+	stops    []context.CancelFunc
+	// waits receives a value when a request waits for a suspect.
+	waits     chan struct{}
 	upstreams []*fgstandin.Upstream
 	crashed   []string
 	mu        sync.Mutex
@@ -67,7 +69,7 @@
 
 func newFleet(t *testing.T, entries, upstreams int) *fleet {
 	t.Helper()
-	f := &fleet{platform: &fgstandin.Platform{}, key: fgkey.New()}
+	f := &fleet{platform: &fgstandin.Platform{}, key: fgkey.New(), waits: make(chan struct{}, 1)}
 	change := fgconfig.Change{Put: []fgapi.Resource{
 		resource("west", &fgapi.RegionSpec{AvailabilityZones: []string{"west-a"}}),
 		resource("office", &fgapi.WorkspaceSpec{RequestsPerSecond: 1000, Burst: 1000}),
@@ -91,6 +93,16 @@
 	return f
 }
 
+func (f *fleet) log(_, text string) {
+	if !strings.Contains(text, "request waits") {
+		return
+	}
+	select {
+	case f.waits <- struct{}{}:
+	default:
+	}
+}
+
 func resource(name string, spec fgapi.Spec) fgapi.Resource {
 	for _, k := range fgapi.Kinds() {
 		if fmt.Sprintf("%T", fgapi.NewSpec(k)) == fmt.Sprintf("%T", spec) {
@@ -136,7 +148,7 @@
 	e := New(Settings{fleetSecret: secret, operatorToken: "token", raw: RawSettings{
 		VM: vm, Region: "west", AvailabilityZone: "west-a", DrainTimeout: testTimeout,
 		CallerListen: any, PeerListen: any, OperatorListen: any, MetricsListen: any,
-	}}, f.platform, logr.Discard())
+	}}, f.platform, funcr.New(f.log, funcr.Options{Verbosity: 1}))
 	if err := e.Listen(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -98,6 +98,7 @@
 			}
 			continue
 		}
+		e.logger.V(1).Info("request waits while a suspect runs alone", "requestId", c.id)
 		select {
 		case <-changed:
 			exclude = maps.Clone(tried)
--- a/internal/fgentry/send_test.go
+++ b/internal/fgentry/send_test.go
@@ -243,6 +243,7 @@
 	if err := f.upstreams[0].Await(t.Context(), 1); err != nil {
 		t.Fatal(err)
 	}
+	<-f.waits
 	if n := f.ran("/browse/hot"); n != 1 {
 		t.Errorf("%d suspects run at once", n)
 	}
--- a/internal/transport/fgpeer/listener.go
+++ b/internal/transport/fgpeer/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
@@ -13,6 +14,9 @@
 	"storj.io/drpc/drpcserver"
 )
 
+// finishTimeout bounds how long a stopping server sends its last answers.
+const finishTimeout = time.Second
+
 // ServerOptions configures a Server.
 type ServerOptions struct {
 	Secret Secret
@@ -40,15 +44,15 @@
 	defer cancel()
 	forwarded := newConnListener(l.Addr())
 	httpServer := &http.Server{Handler: s.options.HTTP, ReadHeaderTimeout: handshakeTimeout}
-	stop := context.AfterFunc(ctx, func() {
-		_ = l.Close()
-		_ = httpServer.Close()
-		_ = forwarded.Close()
-	})
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer cancel()
+	defer func() {
+		finishHTTP(httpServer)
+		_ = forwarded.Close()
+	}()
 	wg.Go(func() { _ = httpServer.Serve(forwarded) })
 	for {
 		c, err := l.Accept()
@@ -62,6 +66,16 @@
 	}
 }
 
+// finishHTTP stops a server. An answer whose handler has returned may still be
+// on its way to the connection, so it gets a moment before the connections are
+// closed.
+func finishHTTP(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	_ = s.Shutdown(ctx)
+	_ = s.Close()
+}
+
 func (s *Server) serveConn(ctx context.Context, c net.Conn, forwarded *connListener) {
 	protocol, err := s.options.Secret.acceptHandshake(c)
 	if err != nil {
