Refuse a foreign Idempotency-Key without a record as unknown

The refusal now says unknown and tells that this arrival was not run. The test's expected outcome is the stricter one: not-run was wrong, since nothing vouches for earlier arrivals. With the change reverted TestForeignKeys fails.

The script tests of two test processes no longer share addresses: thin.txt had failed with "address already in use" when two ran at a time.

--- a/internal/fgcommand/script_test.go
+++ b/internal/fgcommand/script_test.go
@@ -34,9 +34,11 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Setup: func(e *testscript.Env) error {
-			// Each script listens on addresses of its own, so that fixed ports
-			// never clash between scripts.
-			e.Setenv("NET", fmt.Sprintf("127.10.%d", network.Add(1)))
+			// Each script of each test process listens on addresses of its own,
+			// so that fixed ports never clash. With one network for all test
+			// processes, thin.txt failed with "address already in use" when two
+			// ran at a time.
+			e.Setenv("NET", fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, network.Add(1)))
 			// The race detector otherwise sleeps 1 s at the end of each process.
 			e.Setenv("GORACE", "atexit_sleep_ms=50")
 			return nil
--- a/internal/fgentry/foreign.go
+++ b/internal/fgentry/foreign.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
-	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
 	"github.com/filbertgap/filbertgap/internal/state/fgdedupe"
 )
@@ -22,7 +21,7 @@
 	fleetIdemWrites = 100
 	// maxRecordTries bounds the attempts to learn whether a record was written.
 	maxRecordTries = 3
-	foreignHint    = "; the refusal is about this arrival only. Ids that begin with a look-up answer's idPrefix need no record"
+	foreignHint    = "; this arrival was not run, but an earlier one with the key may have. Ids that begin with a look-up answer's idPrefix need no record"
 )
 
 // idemRecord is the platform's record of a foreign Idempotency-Key.
@@ -175,6 +174,8 @@
 	return found.Incarnation, nil
 }
 
+// noRecord refuses a call that no record can be written for. Its outcome is
+// unknown, because another process may have run an earlier arrival of the key.
 func noRecord(reason string) error {
-	return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodePlatform, reason+foreignHint).WithRetryAfter(submitRetryAfter)
+	return outcomeUnknown(reason + foreignHint).WithRetryAfter(submitRetryAfter)
 }
--- a/internal/fgentry/once_test.go
+++ b/internal/fgentry/once_test.go
@@ -172,7 +172,7 @@
 		outcome string
 	}{
 		{"lost answer", fgstandin.Faults{LoseAnswers: 1}, 200, ""},
-		{"platform down", fgstandin.Faults{Down: true}, 503, "not-run"},
+		{"platform down", fgstandin.Faults{Down: true}, 503, "unknown"},
 		{"well", fgstandin.Faults{}, 200, ""},
 	}
 	for _, tt := range tests {
