Remove every trace of a caller's key before a request reaches an upstream

Headers, cookies and the request id are searched plain and percent- or base64-encoded, up to four encodings within each other; text that is still encoded after that counts as a key. URLs with a key are refused before anything is spent. Bodies are searched as they stream and cut before a key. Trailers are not passed on: their values arrive after the header has been judged, and no upstream needs them.

With the header left as it is and the hold-back off, TestScrubHeader and TestScannedBody/key_alone,_bytewise fail.

--- a/internal/fgentry/caller.go
+++ b/internal/fgentry/caller.go
@@ -46,7 +46,7 @@
 
 func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
 	c := &call{id: r.Header.Get(headerRequestID), snapshot: e.config.State()}
-	if c.id == "" {
+	if c.id == "" || fgkey.Contains(c.id) {
 		c.id = fgrequest.NewTraceID()
 	}
 	w.Header().Set(headerRequestID, c.id)
@@ -56,6 +56,9 @@
 }
 
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, c *call) error {
+	if err := fgkey.CheckURL(r); err != nil {
+		return err
+	}
 	if err := c.matchRoute(r); err != nil {
 		return err
 	}
@@ -139,13 +142,17 @@
 // sendLocal sends a call to an upstream and copies its answer.
 func (e *Entry) sendLocal(w http.ResponseWriter, r *http.Request, c *call, t localTarget) error {
 	out := r.Clone(r.Context())
-	out.Header.Del("Authorization")
+	fgkey.Scrub(out)
 	out.Header.Set(headerWorkspace, c.workspace)
 	out.Header.Set(headerRequestID, c.id)
 	if deadline, ok := r.Context().Deadline(); ok {
 		out.Header.Set(headerTimeout, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	}
 	res, err := e.upstreams.RoundTrip(r.Context(), t.upstream.Spec().Address, out)
+	if p := (*fgproblem.Problem)(nil); errors.As(err, &p) {
+		t.done(resultCancelled)
+		return p
+	}
 	if err != nil {
 		t.done(resultLost)
 		return fgproblem.New(http.StatusBadGateway, fgproblem.CodeUpstreamLost, "the upstream did not answer").WithOutcome(fgproblem.Unknown)
--- a/internal/protocol/fgkey/key.go
+++ b/internal/protocol/fgkey/key.go
@@ -73,7 +73,7 @@
 		return Key{}, ErrMalformed
 	}
 	id, secret, ok := strings.Cut(rest, "_")
-	if !ok || len(id) != 2*idBytes || len(secret) != 2*secretBytes {
+	if !ok || len(text) != length || matchKey([]byte(text)) != length {
 		return Key{}, ErrMalformed
 	}
 	return Key{id: id, secret: secret}, nil
--- a/internal/protocol/fgproblem/problem.go
+++ b/internal/protocol/fgproblem/problem.go
@@ -32,6 +32,7 @@
 	CodeKeyMissing       Code = "key-missing"
 	CodeKeyInvalid       Code = "key-invalid"
 	CodeKeyInURL         Code = "key-in-url"
+	CodeKeyInBody        Code = "key-in-body"
 	CodeRateExceeded     Code = "rate-exceeded"
 	CodeNoCapacity       Code = "no-capacity"
 	CodeNoUpstream       Code = "no-upstream"
@@ -50,6 +51,16 @@
 	CodePlatform         Code = "platform-unavailable"
 )
 
+// Codes returns every code, for metrics that begin at zero and for the pages.
+func Codes() []Code {
+	return []Code{
+		CodeNoRoute, CodeMethodNotAllowed, CodeKeyMissing, CodeKeyInvalid, CodeKeyInURL, CodeKeyInBody,
+		CodeRateExceeded, CodeNoCapacity, CodeNoUpstream, CodeUpstreamLost, CodeDeadline, CodeStale,
+		CodeCrashes, CodeAlreadyRan, CodeOutcomeUnknown, CodeLeaving, CodeBadRequest, CodeUnauthorized,
+		CodeInvalid, CodeConflict, CodeNotFound, CodePlatform,
+	}
+}
+
 // contentType is the media type of RFC 9457.
 const contentType = "application/problem+json"
 
