Decode resources strictly and report every fault with its place

Decode stopped at the first fault, accepted contradictions between resources, and errors of references had no file or line. The decoder now walks the syntax tree, so that each fault names file, line, resource, field, value and what is accepted; the library's own struct decoding was ruled out because it stops at the first fault and loses the lines. Bits per second are written with a unit; bytes are refused with the converted value.

A change sent to the operators' interface is decoded by the same code, so unknown fields are refused there too.

With the check for repeated fields and the checks between resources off, TestFaults fails in the cases about them.

--- a/internal/fgentry/operator.go
+++ b/internal/fgentry/operator.go
@@ -4,6 +4,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -45,11 +46,39 @@
 	})
 }
 
-// ChangeRequest asks for a change of the configuration, all of it or nothing.
-type ChangeRequest struct {
+// changeRequest asks for a change of the configuration, all of it or nothing.
+type changeRequest struct {
 	// ChangeID is chosen by the client. A repeat with the same id is not applied twice.
-	ChangeID string `json:"changeId"`
-	fgconfig.Change
+	ChangeID string          `json:"changeId"`
+	Put      json.RawMessage `json:"put"`
+	Delete   []fgapi.Ref     `json:"delete"`
+}
+
+// maxChangeIDBytes bounds a change id, of which the journal keeps the recent ones.
+const maxChangeIDBytes = 64
+
+// readChange decodes a change strictly: unknown fields are refused.
+func readChange(w http.ResponseWriter, r *http.Request) (string, fgconfig.Change, error) {
+	var in changeRequest
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&in); err != nil {
+		return "", fgconfig.Change{}, fmt.Errorf("the change cannot be read: %w", err)
+	}
+	if in.ChangeID == "" || len(in.ChangeID) > maxChangeIDBytes {
+		return "", fgconfig.Change{}, fmt.Errorf("changeId has %d bytes; accepted are 1 to %d", len(in.ChangeID), maxChangeIDBytes)
+	}
+	c := fgconfig.Change{Delete: in.Delete}
+	if len(in.Put) > 0 {
+		var err error
+		if c.Put, err = fgapi.Decode("put", in.Put); err != nil {
+			return "", fgconfig.Change{}, err
+		}
+	}
+	if len(c.Put)+len(c.Delete) == 0 {
+		return "", fgconfig.Change{}, errors.New("the change is empty; accepted is at least one resource in put or delete")
+	}
+	return in.ChangeID, c, nil
 }
 
 // ChangeAnswer tells the generation that a change received.
@@ -58,26 +87,26 @@
 }
 
 func (e *Entry) handleChange(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var in ChangeRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes)).Decode(&in); err != nil {
-		fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, err.Error()).Write(w, "")
+	changeID, change, err := readChange(w, r)
+	if errors.Is(err, fgapi.ErrInvalid) {
+		changeProblem(err).Write(w, "")
 		return
 	}
-	if in.ChangeID == "" {
-		fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "changeId is empty").Write(w, "")
+	if err != nil {
+		fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, err.Error()).Write(w, "")
 		return
 	}
-	generation, err := e.config.Submit(r.Context(), in.ChangeID, func(s *fgconfig.Snapshot) (json.RawMessage, error) {
-		if err := s.Check(in.Change); err != nil {
+	generation, err := e.config.Submit(r.Context(), changeID, func(s *fgconfig.Snapshot) (json.RawMessage, error) {
+		if err := s.Check(change); err != nil {
 			return nil, err
 		}
-		return json.Marshal(in.Change)
+		return json.Marshal(change)
 	})
 	if err != nil {
 		changeProblem(err).Write(w, "")
 		return
 	}
-	e.logger.Info("configuration changed", "generation", generation, "change", in.ChangeID)
+	e.logger.Info("configuration changed", "generation", generation, "change", changeID)
 	writeJSON(w, ChangeAnswer{Generation: generation})
 }
 
--- a/pkg/fgapi/resource.go
+++ b/pkg/fgapi/resource.go
@@ -3,7 +3,6 @@
 package fgapi
 
 import (
-	"fmt"
 	"strings"
 	"time"
 )
@@ -64,6 +63,8 @@
 	Metadata   Metadata `json:"metadata"`
 	Spec       Spec     `json:"spec"`
 	Status     *Status  `json:"status,omitempty"`
+
+	origin *origin
 }
 
 // Ref returns the resource's identity.
@@ -181,7 +182,7 @@
 	RequestsPerSecond int64 `json:"requestsPerSecond"`
 	// BitsPerSecond counts all bytes that cross from From to To, requests and
 	// answers alike.
-	BitsPerSecond int64 `json:"bitsPerSecond"`
+	BitsPerSecond BitRate `json:"bitsPerSecond"`
 }
 
 // UpstreamSpec declares one server behind the system.
@@ -214,27 +215,3 @@
 	DrainAvailabilityZone DrainTarget = "AvailabilityZone"
 	DrainRegion           DrainTarget = "Region"
 )
-
-// Duration is a time.Duration written as text, for example "5s".
-type Duration struct {
-	duration time.Duration
-}
-
-// NewDuration wraps a time.Duration.
-func NewDuration(d time.Duration) Duration { return Duration{duration: d} }
-
-// Value returns the wrapped duration.
-func (d Duration) Value() time.Duration { return d.duration }
-
-// MarshalText writes the duration in Go's notation.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(d.duration.String()), nil }
-
-// UnmarshalText reads a duration in Go's notation.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("%q is not a duration; write a number and a unit, for example 500ms or 5s", text)
-	}
-	d.duration = v
-	return nil
-}
--- a/pkg/fgapi/validate.go
+++ b/pkg/fgapi/validate.go
@@ -3,163 +3,194 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"regexp"
 	"slices"
+	"strings"
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+// Limits of declared values. They keep sums over many resources within 63 bits.
+const (
+	MaxRate        = 1_000_000_000
+	MaxWeight      = 1_000_000
+	MaxSlots       = 1_000_000
+	MaxConnections = 1_000_000
+	MaxDeadline    = 3600 // seconds
+)
 
-// Validate checks resources as one whole: names, ranges, duplicates and
-// references. It reports every fault that it finds.
-func Validate(resources []Resource) error {
-	var errs []error
-	set := map[Ref]bool{}
-	for _, r := range resources {
-		if set[r.Ref()] {
-			errs = append(errs, fault(r.Ref(), "metadata.name", r.Metadata.Name, "a name that is used once for its kind"))
-		}
-		set[r.Ref()] = true
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	pathPattern   = regexp.MustCompile(`^/[^?#%\s]*$`)
+)
+
+const acceptedName = "1 to 63 of a-z, 0-9, '.' and '-', beginning and ending with a letter or digit"
+
+// reservedPath is the system's own part of the callers' listener.
+const reservedPath = "/fg"
+
+// fault describes a refused value of the resource.
+func (r Resource) fault(field, value, accepted string) error {
+	file, line := r.origin.at(field)
+	return &Fault{file: file, line: line, resource: showRef(r.Ref()), field: field, value: value, accepted: accepted}
+}
+
+func (r Resource) faultText(field, value, accepted string) error {
+	return r.fault(field, "is "+quote(field, value), accepted)
+}
+
+// checkRange reports a number outside of what is accepted.
+func (r Resource) checkRange(field string, value, low, high int64, accepted string) error {
+	if value >= low && value <= high {
+		return nil
 	}
+	return r.fault(field, fmt.Sprintf("is %d", value), fmt.Sprintf("%s from %d to %d", accepted, low, high))
+}
+
+// Validate checks resources as one whole: names, ranges, duplicates,
+// references and contradictions. It reports every fault that it finds.
+func Validate(resources []Resource) error {
+	errs := []error{duplicates(resources)}
 	for _, r := range resources {
-		if !namePattern.MatchString(r.Metadata.Name) {
-			errs = append(errs, fault(r.Ref(), "metadata.name", r.Metadata.Name, "1 to 63 of a-z, 0-9, '.' and '-', beginning and ending with a letter or digit"))
-		}
-		errs = append(errs, validateSpec(r, set))
+		errs = append(errs, validateAlone(r))
 	}
+	errs = append(errs, validateTogether(resources))
 	return errors.Join(errs...)
 }
 
-// fault describes a refused value and what would be accepted in its place.
-func fault(ref Ref, field string, value any, accepted string) error {
-	return fmt.Errorf("%w: %s: %s is %v; accepted is %s", ErrInvalid, ref, field, value, accepted)
-}
-
-func validateSpec(r Resource, set map[Ref]bool) error {
+// validateAlone checks what a resource says without regard to others.
+func validateAlone(r Resource) error {
+	var errs []error
+	if !namePattern.MatchString(r.Metadata.Name) {
+		errs = append(errs, r.faultText("metadata.name", r.Metadata.Name, acceptedName))
+	}
 	switch spec := r.Spec.(type) {
 	case *WorkspaceSpec:
-		return validateWorkspace(r.Ref(), spec)
+		errs = append(errs, validateWorkspace(r, spec)...)
 	case *KeySpec:
-		return validateReference(r.Ref(), "spec.workspace", Ref{KindWorkspace, spec.Workspace}, set)
+		if !digestPattern.MatchString(spec.Digest) {
+			errs = append(errs, r.faultText("spec.digest", spec.Digest, "64 lower-case hex digits; key issue writes them"))
+		}
 	case *RouteSpec:
-		return validateRoute(r.Ref(), spec)
+		errs = append(errs, validateRoute(r, spec)...)
 	case *RegionSpec:
-		return validateRegion(r.Ref(), spec)
+		errs = append(errs, validateRegion(r, spec)...)
 	case *RegionalCapSpec:
-		return validateRegionalCap(r.Ref(), spec, set)
+		errs = append(errs, validateRegionalCap(r, spec)...)
 	case *UpstreamSpec:
-		return validateUpstream(r.Ref(), spec, set)
+		errs = append(errs, validateUpstream(r, spec)...)
 	case *DrainSpec:
-		return validateDrain(r.Ref(), spec, set)
+		errs = append(errs, validateDrain(r, spec)...)
 	default:
-		return fmt.Errorf("%w: %s: unknown spec type %T", ErrInvalid, r.Ref(), spec)
+		errs = append(errs, r.fault("spec", fmt.Sprintf("has the unknown type %T", spec), "a spec of the kind"))
 	}
+	return errors.Join(errs...)
 }
 
-func validateReference(ref Ref, field string, target Ref, set map[Ref]bool) error {
-	if set[target] {
-		return nil
+func validateWorkspace(r Resource, s *WorkspaceSpec) []error {
+	return []error{
+		r.checkRange("spec.requestsPerSecond", s.RequestsPerSecond, 1, MaxRate, "a number of requests per second"),
+		r.checkRange("spec.burst", s.Burst, 1, MaxRate, "a number of requests"),
+		r.checkRange("spec.weight", s.Weight, 0, MaxWeight, "a weight"),
 	}
-	return fault(ref, field, fmt.Sprintf("%q", target.Name), "the name of a declared "+string(target.Kind))
 }
 
-func validateWorkspace(ref Ref, s *WorkspaceSpec) error {
+func validateRoute(r Resource, s *RouteSpec) []error {
 	var errs []error
-	if s.RequestsPerSecond < 1 {
-		errs = append(errs, fault(ref, "spec.requestsPerSecond", s.RequestsPerSecond, "a number of requests per second of at least 1"))
-	}
-	if s.Burst < 1 {
-		errs = append(errs, fault(ref, "spec.burst", s.Burst, "a number of requests of at least 1"))
+	if !pathPattern.MatchString(s.PathPrefix) {
+		errs = append(errs, r.faultText("spec.pathPrefix", s.PathPrefix, "a path that begins with / and has no query, fragment, escape or space"))
 	}
-	if s.Weight < 0 {
-		errs = append(errs, fault(ref, "spec.weight", s.Weight, "0 (meaning 1) or more"))
+	if s.PathPrefix == reservedPath || strings.HasPrefix(s.PathPrefix, reservedPath+"/") {
+		errs = append(errs, r.faultText("spec.pathPrefix", s.PathPrefix, "a path outside of "+reservedPath+", which is the system's own"))
 	}
-	return errors.Join(errs...)
-}
-
-func validateRoute(ref Ref, s *RouteSpec) error {
-	var errs []error
-	if s.PathPrefix == "" || s.PathPrefix[0] != '/' {
-		errs = append(errs, fault(ref, "spec.pathPrefix", fmt.Sprintf("%q", s.PathPrefix), "a path that begins with /"))
+	errs = append(errs, validateMethods(r, s.Methods)...)
+	if s.Access != AccessOpen && s.Access != AccessKeyed {
+		errs = append(errs, r.faultText("spec.access", string(s.Access), "open or keyed"))
 	}
-	if len(s.Methods) == 0 {
-		errs = append(errs, fault(ref, "spec.methods", "empty", "at least one HTTP method"))
+	if d := s.Deadline.Value(); d <= 0 || d.Seconds() > MaxDeadline {
+		errs = append(errs, r.faultText("spec.deadline", d.String(), "a duration above 0s and up to 1h, for example 5s"))
 	}
-	if s.Access != AccessOpen && s.Access != AccessKeyed {
-		errs = append(errs, fault(ref, "spec.access", fmt.Sprintf("%q", s.Access), "open or keyed"))
+	if !namePattern.MatchString(s.UpstreamGroup) {
+		errs = append(errs, r.faultText("spec.upstreamGroup", s.UpstreamGroup, "the name of a group of upstreams"))
 	}
-	if s.Deadline.Value() <= 0 {
-		errs = append(errs, fault(ref, "spec.deadline", s.Deadline.Value(), "a duration above zero, for example 5s"))
+	return errs
+}
+
+func validateMethods(r Resource, methods []string) []error {
+	accepted := []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions}
+	if len(methods) == 0 {
+		return []error{r.fault("spec.methods", "is empty", "at least one of "+strings.Join(accepted, ", "))}
 	}
-	if s.UpstreamGroup == "" {
-		errs = append(errs, fault(ref, "spec.upstreamGroup", `""`, "the name of a group of upstreams"))
+	var errs []error
+	for i, m := range methods {
+		field := fmt.Sprintf("spec.methods[%d]", i)
+		if !slices.Contains(accepted, m) {
+			errs = append(errs, r.faultText(field, m, "one of "+strings.Join(accepted, ", ")))
+		} else if slices.Contains(methods[:i], m) {
+			errs = append(errs, r.faultText(field, m, "each method once"))
+		}
 	}
-	return errors.Join(errs...)
+	return errs
 }
 
-func validateRegion(ref Ref, s *RegionSpec) error {
+func validateRegion(r Resource, s *RegionSpec) []error {
 	var errs []error
 	if len(s.AvailabilityZones) == 0 {
-		errs = append(errs, fault(ref, "spec.availabilityZones", "empty", "at least one name"))
+		errs = append(errs, r.fault("spec.availabilityZones", "is empty", "at least one name"))
+	}
+	for i, zone := range s.AvailabilityZones {
+		field := fmt.Sprintf("spec.availabilityZones[%d]", i)
+		if !namePattern.MatchString(zone) {
+			errs = append(errs, r.faultText(field, zone, acceptedName))
+		} else if slices.Contains(s.AvailabilityZones[:i], zone) {
+			errs = append(errs, r.faultText(field, zone, "each name once"))
+		}
 	}
-	for _, b := range s.ClientBlocks {
-		if _, err := netip.ParsePrefix(b); err != nil {
-			errs = append(errs, fault(ref, "spec.clientBlocks", fmt.Sprintf("%q", b), "an address prefix, for example 10.1.0.0/16"))
+	for i, b := range s.ClientBlocks {
+		p, err := netip.ParsePrefix(b)
+		if err != nil || p != p.Masked() {
+			errs = append(errs, r.faultText(fmt.Sprintf("spec.clientBlocks[%d]", i), b, "an address prefix whose remaining bits are zero, for example 10.1.0.0/16"))
 		}
 	}
-	return errors.Join(errs...)
+	return errs
 }
 
-func validateRegionalCap(ref Ref, s *RegionalCapSpec, set map[Ref]bool) error {
+func validateRegionalCap(r Resource, s *RegionalCapSpec) []error {
 	errs := []error{
-		validateReference(ref, "spec.from", Ref{KindRegion, s.From}, set),
-		validateReference(ref, "spec.to", Ref{KindRegion, s.To}, set),
+		r.checkRange("spec.requestsPerSecond", s.RequestsPerSecond, 0, MaxRate, "a number of requests per second"),
 	}
 	if s.From == s.To {
-		errs = append(errs, fault(ref, "spec.to", fmt.Sprintf("%q", s.To), "a region other than spec.from"))
-	}
-	if s.RequestsPerSecond < 0 {
-		errs = append(errs, fault(ref, "spec.requestsPerSecond", s.RequestsPerSecond, "0 or more"))
+		errs = append(errs, r.faultText("spec.to", s.To, "a region other than spec.from"))
 	}
 	if s.BitsPerSecond < 0 {
-		errs = append(errs, fault(ref, "spec.bitsPerSecond", s.BitsPerSecond, "0 or more"))
+		errs = append(errs, r.faultText("spec.bitsPerSecond", s.BitsPerSecond.String(), "0bit or more"))
 	}
-	return errors.Join(errs...)
+	return errs
 }
 
-func validateUpstream(ref Ref, s *UpstreamSpec, set map[Ref]bool) error {
-	errs := []error{validateReference(ref, "spec.region", Ref{KindRegion, s.Region}, set)}
-	if _, err := netip.ParseAddrPort(s.Address); err != nil {
-		errs = append(errs, fault(ref, "spec.address", fmt.Sprintf("%q", s.Address), "an IP address and port, for example 10.0.0.5:8080"))
-	}
-	if s.Group == "" {
-		errs = append(errs, fault(ref, "spec.group", `""`, "the name of a group"))
-	}
-	if s.AvailabilityZone == "" {
-		errs = append(errs, fault(ref, "spec.availabilityZone", `""`, "the name of an availability zone"))
+func validateUpstream(r Resource, s *UpstreamSpec) []error {
+	errs := []error{
+		r.checkRange("spec.slots", s.Slots, 0, MaxSlots, "a number of requests at once"),
+		r.checkRange("spec.connections", s.Connections, 0, MaxConnections, "a number of connections"),
 	}
-	if s.Slots < 0 {
-		errs = append(errs, fault(ref, "spec.slots", s.Slots, "0 (undeclared) or more"))
+	if a, err := netip.ParseAddrPort(s.Address); err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+		errs = append(errs, r.faultText("spec.address", s.Address, "an IP address and port, for example 10.0.0.5:8080"))
 	}
-	if s.Connections < 0 {
-		errs = append(errs, fault(ref, "spec.connections", s.Connections, "0 (meaning 330) or more"))
+	if !namePattern.MatchString(s.Group) {
+		errs = append(errs, r.faultText("spec.group", s.Group, acceptedName))
 	}
-	return errors.Join(errs...)
+	return errs
 }
 
-func validateDrain(ref Ref, s *DrainSpec, set map[Ref]bool) error {
+func validateDrain(r Resource, s *DrainSpec) []error {
 	switch s.TargetKind {
-	case DrainUpstream:
-		return validateReference(ref, "spec.target", Ref{KindUpstream, s.Target}, set)
-	case DrainRegion:
-		return validateReference(ref, "spec.target", Ref{KindRegion, s.Target}, set)
-	case DrainVM, DrainAvailabilityZone:
-		if s.Target != "" {
-			return nil
-		}
-		return fault(ref, "spec.target", `""`, "a name")
+	case DrainUpstream, DrainVM, DrainAvailabilityZone, DrainRegion:
 	default:
-		kinds := []DrainTarget{DrainUpstream, DrainVM, DrainAvailabilityZone, DrainRegion}
-		return fault(ref, "spec.targetKind", fmt.Sprintf("%q", s.TargetKind), fmt.Sprint(slices.Clone(kinds)))
+		return []error{r.faultText("spec.targetKind", string(s.TargetKind), "one of Upstream, VM, AvailabilityZone, Region")}
+	}
+	if s.Target == "" {
+		return []error{r.faultText("spec.target", s.Target, "the name of the "+string(s.TargetKind))}
 	}
+	return nil
 }
