Complete the operators' commands and keep a change id across lost answers

Commands printed JSON only, and a lost answer left the operator to guess whether the change was accepted. The client now tries several VMs, repeats a call whose answer was lost with the same change id, and says which id to repeat when it gives up. Refusals are final. Repeating after a refused connection was ruled out: nothing was sent, and an unreachable address should be reported at once.

--- a/internal/fgcommand/command.go
+++ b/internal/fgcommand/command.go
@@ -66,10 +66,10 @@
 		return exitConflict
 	case errors.Is(err, fgclient.ErrNotFound):
 		return exitNotFound
-	case errors.Is(err, fgclient.ErrUnreachable):
-		return exitUnreachable
 	case errors.Is(err, context.DeadlineExceeded):
 		return exitTimeout
+	case errors.Is(err, fgclient.ErrUnreachable):
+		return exitUnreachable
 	case errors.Is(err, fgapi.ErrInvalid), errors.Is(err, fgclient.ErrInvalid):
 		return exitInvalid
 	default:
@@ -77,10 +77,20 @@
 	}
 }
 
+const rootHelp = `filbertgap steers requests between callers and upstreams in several regions.
+
+Each flag can also be set by an environment variable: --operator-token-file is
+FILBERTGAP_OPERATOR_TOKEN_FILE.
+
+Exit codes: 0 done, 1 failure, 2 wrong usage, 3 conflict with another change,
+4 not found, 5 unreachable, 6 timed out, 7 refused as invalid.`
+
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:               "filbertgap",
 		Short:             "Global traffic steering",
+		Long:              rootHelp,
+		Example:           "  filbertgap dev\n  filbertgap apply -f resources.yaml --wait\n  filbertgap get routes",
 		SilenceUsage:      true,
 		SilenceErrors:     true,
 		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error { return applyEnvironment(cmd.Flags()) },
@@ -90,19 +100,37 @@
 	})
 	root.AddCommand(newEntry(), newStandin(), newVersion())
 	root.AddCommand(operatorCommands()...)
+	markUsageErrors(root)
 	return root
 }
 
-func newVersion() *cobra.Command {
-	return &cobra.Command{
-		Use:   "version",
-		Short: "Print the version",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, err := fmt.Fprintln(cmd.OutOrStdout(), Version)
-			return err
-		},
+// markUsageErrors makes wrong arguments of each command a fault of usage. A
+// command that only groups others shows its help.
+func markUsageErrors(cmd *cobra.Command) {
+	if !cmd.Runnable() {
+		cmd.Args = cobra.NoArgs
+		cmd.RunE = func(cmd *cobra.Command, _ []string) error { return cmd.Help() }
+	}
+	if check := cmd.Args; check != nil {
+		cmd.Args = func(cmd *cobra.Command, args []string) error {
+			if err := check(cmd, args); err != nil {
+				return fmt.Errorf("%w: %w; see %s --help", errUsage, err, cmd.CommandPath())
+			}
+			return nil
+		}
+	}
+	for _, child := range cmd.Commands() {
+		markUsageErrors(child)
+	}
+}
+
+// requireFlag reports a flag without a value, whether it comes from the command
+// line or the environment.
+func requireFlag(name, value string) error {
+	if value == "" {
+		return fmt.Errorf("%w: --%s is not set", errUsage, name)
 	}
+	return nil
 }
 
 // applyEnvironment sets each flag that was not given from the environment
--- a/internal/fgcommand/operator.go
+++ b/internal/fgcommand/operator.go
@@ -2,45 +2,69 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
-	"github.com/filbertgap/filbertgap/internal/protocol/fgkey"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
 	"github.com/filbertgap/filbertgap/pkg/fgclient"
 )
 
+// waitInterval separates the status calls of a wait.
+const waitInterval = 100 * time.Millisecond
+
 // operatorFlags are the flags that all operators' commands share.
 type operatorFlags struct {
-	address   string
+	addresses []string
 	tokenFile string
+	caFile    string
 	timeout   time.Duration
+	output    outputFormat
 }
 
 func (f *operatorFlags) add(cmd *cobra.Command) {
-	cmd.Flags().StringVar(&f.address, "operator", "http://127.0.0.1:8082", "base URL of a VM's operator interface")
+	cmd.Flags().StringSliceVar(&f.addresses, "operator", []string{"http://127.0.0.1:8082"}, "base URL of a VM's operator interface; may be repeated, the first that answers is used")
 	cmd.Flags().StringVar(&f.tokenFile, "operator-token-file", "", "file with the operators' credential")
+	cmd.Flags().StringVar(&f.caFile, "operator-ca-file", "", "file with certificates to trust (default: the host's)")
 	cmd.Flags().DurationVar(&f.timeout, "timeout", 10*time.Second, "how long to wait")
+	f.output.add(cmd)
 }
 
 func (f *operatorFlags) client() (*fgclient.Operator, error) {
+	if err := requireFlag("operator-token-file", f.tokenFile); err != nil {
+		return nil, err
+	}
 	token, err := os.ReadFile(f.tokenFile)
 	if err != nil {
 		return nil, fmt.Errorf("%w: --operator-token-file: %w", errUsage, err)
 	}
-	return fgclient.NewOperator(f.address, strings.TrimSpace(string(token)))
+	client, err := fgclient.NewOperator(fgclient.OperatorOptions{Addresses: f.addresses, Token: strings.TrimSpace(string(token)), CAFile: f.caFile})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return client, nil
+}
+
+// session is one run of an operators' command.
+type session struct {
+	ctx    context.Context
+	cmd    *cobra.Command
+	client *fgclient.Operator
+	output *outputFormat
+	args   []string
+}
+
+func (s *session) print(value any, rows table) error {
+	return s.output.print(s.cmd.OutOrStdout(), value, rows)
 }
 
 // operatorCommand makes a command that calls the operators' interface.
-func operatorCommand(cmd *cobra.Command, run func(context.Context, *cobra.Command, *fgclient.Operator, []string) error) *cobra.Command {
+func operatorCommand(cmd *cobra.Command, run func(*session) error) *cobra.Command {
 	var f operatorFlags
 	f.add(cmd)
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
@@ -50,77 +74,96 @@
 		}
 		ctx, cancel := context.WithTimeout(cmd.Context(), f.timeout)
 		defer cancel()
-		return run(ctx, cmd, client, args)
+		return run(&session{ctx: ctx, cmd: cmd, client: client, output: &f.output, args: args})
 	}
 	return cmd
 }
 
 func operatorCommands() []*cobra.Command {
-	key := &cobra.Command{Use: "key", Short: "Issue and withdraw keys"}
+	key := &cobra.Command{Use: "key", Short: "Issue and withdraw keys", Example: "  filbertgap key issue --workspace committee"}
 	key.AddCommand(newKeyIssue(), newKeyWithdraw())
-	return []*cobra.Command{newApply(), newGet(), newDelete(), newStatus(), newWatch(), key}
+	return []*cobra.Command{newApply(), newGet(), newDelete(), newStatus(), newWatch(), newDrain(), newLookup(), key}
 }
 
-func newApply() *cobra.Command {
-	var file string
-	cmd := operatorCommand(&cobra.Command{Use: "apply -f FILE", Short: "Declare the resources of a file", Args: cobra.NoArgs},
-		func(ctx context.Context, cmd *cobra.Command, o *fgclient.Operator, _ []string) error {
-			data, err := readInput(cmd, file)
-			if err != nil {
-				return err
-			}
-			resources, err := fgapi.Decode(file, data)
-			if err != nil {
-				return err
-			}
-			return submit(ctx, cmd, o, fgclient.Change{Put: resources})
-		})
-	cmd.Flags().StringVarP(&file, "filename", "f", "", "YAML or JSON file, or - for standard input")
-	_ = cmd.MarkFlagRequired("filename")
-	return cmd
+// changeFlags are the flags of commands that change the configuration.
+type changeFlags struct {
+	changeID string
+	wait     bool
+}
+
+func (f *changeFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.changeID, "change-id", "", "id of the change, to repeat one whose answer was lost (default: random)")
+	cmd.Flags().BoolVar(&f.wait, "wait", false, "wait until the change is in force on every VM")
 }
 
-func readInput(cmd *cobra.Command, file string) ([]byte, error) {
-	if file == "-" {
-		return io.ReadAll(cmd.InOrStdin())
+// changeAnswer is what commands that change the configuration print.
+type changeAnswer struct {
+	ChangeID   string `json:"changeId"`
+	Generation uint64 `json:"generation"`
+}
+
+// submit sends a change and waits for it if asked to. The client repeats it with
+// the same id when an answer is lost.
+func (f *changeFlags) submit(s *session, c fgclient.Change) (changeAnswer, error) {
+	c.ChangeID = f.changeID
+	if c.ChangeID == "" {
+		c.ChangeID = fgrequest.NewTraceID()
 	}
-	return os.ReadFile(file)
+	generation, err := s.client.Apply(s.ctx, c)
+	if errors.Is(err, fgclient.ErrLost) || errors.Is(err, context.DeadlineExceeded) {
+		return changeAnswer{}, fmt.Errorf("the change may have been accepted; repeat it with --change-id %s: %w", c.ChangeID, err)
+	}
+	if err != nil {
+		return changeAnswer{}, err
+	}
+	if f.wait {
+		err = s.waitInForce(generation)
+	}
+	return changeAnswer{ChangeID: c.ChangeID, Generation: generation}, err
 }
 
-func submit(ctx context.Context, cmd *cobra.Command, o *fgclient.Operator, c fgclient.Change) error {
-	c.ChangeID = fgrequest.NewTraceID()
-	generation, err := o.Apply(ctx, c)
+func (f *changeFlags) submitAndPrint(s *session, c fgclient.Change) error {
+	answer, err := f.submit(s, c)
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(cmd.OutOrStdout(), "accepted as generation %d\n", generation)
-	return err
+	text := fmt.Sprintf("accepted as generation %d", answer.Generation)
+	if f.wait {
+		text += ", in force on every VM"
+	}
+	return s.print(answer, table{{text}})
 }
 
-func newGet() *cobra.Command {
-	return operatorCommand(&cobra.Command{Use: "get KIND [NAME]", Short: "Show resources and their status", Args: cobra.RangeArgs(1, 2)},
-		func(ctx context.Context, cmd *cobra.Command, o *fgclient.Operator, args []string) error {
-			kind, name, err := kindAndName(args)
-			if err != nil {
-				return err
-			}
-			resources, err := o.Get(ctx, kind, name)
-			if err != nil {
-				return err
-			}
-			return printJSON(cmd, resources)
-		})
+// waitInForce waits until every member applies a generation.
+func (s *session) waitInForce(generation uint64) error {
+	for {
+		status, err := s.client.Status(s.ctx, generation)
+		if err != nil {
+			return err
+		}
+		if status.Status.Complete() {
+			return nil
+		}
+		if err := s.pause(); err != nil {
+			return notInForce(status.Status, err)
+		}
+	}
 }
 
-func newDelete() *cobra.Command {
-	return operatorCommand(&cobra.Command{Use: "delete KIND NAME", Short: "Withdraw a resource", Args: cobra.ExactArgs(2)},
-		func(ctx context.Context, cmd *cobra.Command, o *fgclient.Operator, args []string) error {
-			kind, name, err := kindAndName(args)
-			if err != nil {
-				return err
-			}
-			return submit(ctx, cmd, o, fgclient.Change{Delete: []fgapi.Ref{{Kind: kind, Name: name}}})
-		})
+func notInForce(status *fgapi.Status, err error) error {
+	if status == nil {
+		return err
+	}
+	return fmt.Errorf("in force on %d of %d VMs, missing %s: %w", status.InForce, status.Members, strings.Join(status.Missing, ", "), err)
+}
+
+func (s *session) pause() error {
+	select {
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	case <-time.After(waitInterval):
+		return nil
+	}
 }
 
 func kindAndName(args []string) (fgapi.Kind, string, error) {
@@ -134,77 +177,33 @@
 	return kind, args[1], nil
 }
 
-func newStatus() *cobra.Command {
-	return operatorCommand(&cobra.Command{Use: "status", Short: "Show the fleet's status", Args: cobra.NoArgs},
-		func(ctx context.Context, cmd *cobra.Command, o *fgclient.Operator, _ []string) error {
-			s, err := o.Status(ctx)
-			if err != nil {
-				return err
-			}
-			return printJSON(cmd, s)
-		})
+func completeKinds(_ *cobra.Command, args []string, _ string) ([]string, cobra.ShellCompDirective) {
+	if len(args) > 0 {
+		return nil, cobra.ShellCompDirectiveNoFileComp
+	}
+	var out []string
+	for _, k := range fgapi.Kinds() {
+		out = append(out, strings.ToLower(string(k)))
+	}
+	return out, cobra.ShellCompDirectiveNoFileComp
 }
 
-// watchInterval separates the status calls of a watch.
-const watchInterval = 100 * time.Millisecond
-
-func newWatch() *cobra.Command {
-	return operatorCommand(&cobra.Command{Use: "watch KIND NAME", Short: "Follow a resource until it is in force everywhere", Args: cobra.ExactArgs(2)},
-		func(ctx context.Context, cmd *cobra.Command, o *fgclient.Operator, args []string) error {
-			kind, name, err := kindAndName(args)
-			if err != nil {
-				return err
-			}
-			for {
-				resources, err := o.Get(ctx, kind, name)
-				if err != nil {
-					return errors.Join(err, ctx.Err())
-				}
-				s := resources[0].Status
-				if s.Complete() {
-					_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s/%s is in force on %d of %d VMs\n", kind, name, s.InForce, s.Members)
-					return err
-				}
-				select {
-				case <-ctx.Done():
-					return fmt.Errorf("in force on %d of %d VMs, missing %v: %w", s.InForce, s.Members, s.Missing, ctx.Err())
-				case <-time.After(watchInterval):
-				}
-			}
-		})
-}
-
-func newKeyIssue() *cobra.Command {
-	var workspace string
-	cmd := operatorCommand(&cobra.Command{Use: "issue", Short: "Issue a key and show it once", Args: cobra.NoArgs},
-		func(ctx context.Context, cmd *cobra.Command, o *fgclient.Operator, _ []string) error {
-			k := fgkey.New()
-			_, err := o.Apply(ctx, fgclient.Change{ChangeID: fgrequest.NewTraceID(), Put: []fgapi.Resource{{
-				APIVersion: fgapi.Version,
-				Kind:       fgapi.KindKey,
-				Metadata:   fgapi.Metadata{Name: k.ID()},
-				Spec:       &fgapi.KeySpec{Workspace: workspace, Digest: k.Digest()},
-			}}})
-			if err != nil {
-				return err
-			}
-			_, err = fmt.Fprintln(cmd.OutOrStdout(), k.Reveal())
+func newStatus() *cobra.Command {
+	return operatorCommand(&cobra.Command{
+		Use: "status", Short: "Show the fleet's status", Example: "  filbertgap status -o json", Args: cobra.NoArgs,
+	}, func(s *session) error {
+		status, err := s.client.Status(s.ctx, 0)
+		if err != nil {
 			return err
-		})
-	cmd.Flags().StringVar(&workspace, "workspace", "", "workspace that the key belongs to")
-	_ = cmd.MarkFlagRequired("workspace")
-	return cmd
-}
-
-func newKeyWithdraw() *cobra.Command {
-	return operatorCommand(&cobra.Command{Use: "withdraw ID", Short: "Withdraw a key by its id", Args: cobra.ExactArgs(1)},
-		func(ctx context.Context, cmd *cobra.Command, o *fgclient.Operator, args []string) error {
-			return submit(ctx, cmd, o, fgclient.Change{Delete: []fgapi.Ref{{Kind: fgapi.KindKey, Name: args[0]}}})
-		})
-}
-
-func printJSON(cmd *cobra.Command, v any) error {
-	e := json.NewEncoder(cmd.OutOrStdout())
-	e.SetIndent("", "  ")
-	return e.Encode(v)
+		}
+		rows := table{{"VM", "REGION", "AVAILABILITY ZONE", "CALLERS", "LEAVING", "GENERATION"}}
+		for _, m := range status.Members {
+			generation := fmt.Sprint(status.Generation)
+			if status.Status != nil && contains(status.Status.Missing, m.VM) {
+				generation = "older"
+			}
+			rows = append(rows, []string{m.VM, m.Region, m.AvailabilityZone, m.CallerAddress, fmt.Sprint(m.Leaving), generation})
+		}
+		return s.print(status, rows)
+	})
 }
--- /dev/null
+++ b/internal/fgcommand/resources.go
@@ -0,0 +1,245 @@
+package fgcommand
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/filbertgap/filbertgap/pkg/fgapi"
+	"github.com/filbertgap/filbertgap/pkg/fgclient"
+)
+
+func contains(list []string, item string) bool { return slices.Contains(list, item) }
+
+func newApply() *cobra.Command {
+	var files []string
+	var change changeFlags
+	cmd := operatorCommand(&cobra.Command{
+		Use:     "apply -f FILE",
+		Short:   "Declare the resources of files and directories as one change",
+		Example: "  filbertgap apply -f resources.yaml --wait\n  filbertgap apply -f regions/ -f routes.yaml\n  filbertgap get routes -o json | filbertgap apply -f -",
+		Args:    cobra.NoArgs,
+	}, func(s *session) error {
+		resources, err := readResources(s.cmd.InOrStdin(), files)
+		if err != nil {
+			return err
+		}
+		if err := s.validate(resources); err != nil {
+			return err
+		}
+		return change.submitAndPrint(s, fgclient.Change{Put: resources})
+	})
+	cmd.Flags().StringArrayVarP(&files, "filename", "f", nil, "YAML or JSON file, directory of such files, or - for standard input; may be repeated")
+	change.add(cmd)
+	return cmd
+}
+
+// validate checks resources together with the declared ones, so that faults of
+// references are reported with file and line. The VM checks again.
+func (s *session) validate(resources []fgapi.Resource) error {
+	declared, err := s.client.Get(s.ctx, "", "")
+	if err != nil {
+		return err
+	}
+	replaced := map[fgapi.Ref]bool{}
+	for _, r := range resources {
+		replaced[r.Ref()] = true
+	}
+	all := slices.Clone(resources)
+	for _, r := range declared {
+		if !replaced[r.Ref()] {
+			all = append(all, r)
+		}
+	}
+	return fgapi.Validate(all)
+}
+
+// readResources decodes all files and reports the faults of all of them.
+func readResources(stdin io.Reader, names []string) ([]fgapi.Resource, error) {
+	if len(names) == 0 {
+		return nil, fmt.Errorf("%w: --filename is not set", errUsage)
+	}
+	var out []fgapi.Resource
+	var errs []error
+	for _, name := range names {
+		files, err := listFiles(name)
+		errs = append(errs, err)
+		for _, file := range files {
+			resources, err := readFile(stdin, file)
+			out = append(out, resources...)
+			errs = append(errs, err)
+		}
+	}
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("%w: %s: no resource is declared", fgapi.ErrInvalid, strings.Join(names, ", "))
+	}
+	return out, nil
+}
+
+func readFile(stdin io.Reader, file string) ([]fgapi.Resource, error) {
+	if file == "-" {
+		data, err := io.ReadAll(io.LimitReader(stdin, fgapi.MaxInputBytes+1))
+		if err != nil {
+			return nil, err
+		}
+		return fgapi.Decode("standard input", data)
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("%w: --filename: %w", errUsage, err)
+	}
+	return fgapi.Decode(file, data)
+}
+
+// listFiles returns a file itself, or the resource files of a directory.
+func listFiles(name string) ([]string, error) {
+	info, err := os.Stat(name)
+	if name == "-" || err == nil && !info.IsDir() {
+		return []string{name}, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: --filename: %w", errUsage, err)
+	}
+	entries, err := os.ReadDir(name)
+	if err != nil {
+		return nil, fmt.Errorf("%w: --filename: %w", errUsage, err)
+	}
+	var out []string
+	for _, e := range entries {
+		if ext := filepath.Ext(e.Name()); !e.IsDir() && contains([]string{".yaml", ".yml", ".json"}, ext) {
+			out = append(out, filepath.Join(name, e.Name()))
+		}
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("%w: --filename: %s has no .yaml, .yml or .json file", errUsage, name)
+	}
+	return out, nil
+}
+
+func newGet() *cobra.Command {
+	return operatorCommand(&cobra.Command{
+		Use: "get KIND [NAME]", Short: "Show resources and their status", Args: cobra.RangeArgs(1, 2), ValidArgsFunction: completeKinds,
+		Example: "  filbertgap get workspaces\n  filbertgap get route catalogue -o yaml",
+	}, func(s *session) error {
+		kind, name, err := kindAndName(s.args)
+		if err != nil {
+			return err
+		}
+		resources, err := s.client.Get(s.ctx, kind, name)
+		if err != nil {
+			return err
+		}
+		rows := table{{"NAME", "VERSION", "IN FORCE", "SPEC"}}
+		for _, r := range resources {
+			rows = append(rows, []string{r.Metadata.Name, fmt.Sprint(r.Metadata.ResourceVersion), inForce(r.Status), summary(r.Spec)})
+		}
+		return s.print(resources, rows)
+	})
+}
+
+func inForce(s *fgapi.Status) string {
+	if s == nil {
+		return ""
+	}
+	return fmt.Sprintf("%d/%d", s.InForce, s.Members)
+}
+
+// summary returns a spec's fields in one line, without a key's digest.
+func summary(spec fgapi.Spec) string {
+	if k, ok := spec.(*fgapi.KeySpec); ok {
+		spec = &fgapi.KeySpec{Workspace: k.Workspace, ExpiresAt: k.ExpiresAt}
+	}
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return err.Error()
+	}
+	text := strings.NewReplacer(`"digest":"",`, "", `"digest":""`, "", `"`, "").Replace(string(data))
+	return strings.TrimSuffix(strings.Trim(text, "{}"), ",")
+}
+
+func newDelete() *cobra.Command {
+	var change changeFlags
+	cmd := operatorCommand(&cobra.Command{
+		Use: "delete KIND NAME", Short: "Withdraw a resource", Args: cobra.ExactArgs(2), ValidArgsFunction: completeKinds,
+		Example: "  filbertgap delete route catalogue --wait",
+	}, func(s *session) error {
+		kind, name, err := kindAndName(s.args)
+		if err != nil {
+			return err
+		}
+		return change.submitAndPrint(s, fgclient.Change{Delete: []fgapi.Ref{{Kind: kind, Name: name}}})
+	})
+	change.add(cmd)
+	return cmd
+}
+
+// watchLine is one change that a watch prints.
+type watchLine struct {
+	Kind    fgapi.Kind `json:"kind"`
+	Name    string     `json:"name"`
+	Version uint64     `json:"resourceVersion"`
+	InForce int        `json:"inForce"`
+	Members int        `json:"members"`
+	Missing []string   `json:"missing,omitempty"`
+}
+
+func newWatch() *cobra.Command {
+	return operatorCommand(&cobra.Command{
+		Use: "watch KIND NAME", Short: "Follow a resource until it is in force everywhere", Args: cobra.ExactArgs(2), ValidArgsFunction: completeKinds,
+		Long:    "Follow a resource until it is in force on every VM. Each change of its status is one line; with -o json, one JSON object.",
+		Example: "  filbertgap watch route catalogue\n  filbertgap watch key 0123456789abcdef -o json --timeout 30s",
+	}, func(s *session) error {
+		kind, name, err := kindAndName(s.args)
+		if err != nil {
+			return err
+		}
+		last := ""
+		for {
+			resources, err := s.client.Get(s.ctx, kind, name)
+			if err != nil {
+				return err
+			}
+			status := resources[0].Status
+			if last, err = s.printChange(resources[0], last); err != nil || status.Complete() {
+				return err
+			}
+			if err := s.pause(); err != nil {
+				return notInForce(status, err)
+			}
+		}
+	})
+}
+
+// printChange prints a resource's status unless it is the line printed last.
+func (s *session) printChange(r fgapi.Resource, last string) (string, error) {
+	if r.Status == nil {
+		return last, nil
+	}
+	line := watchLine{Kind: r.Kind, Name: r.Metadata.Name, Version: r.Metadata.ResourceVersion, InForce: r.Status.InForce, Members: r.Status.Members, Missing: r.Status.Missing}
+	text := fmt.Sprintf("%s is in force on %d of %d VMs", r.Ref(), line.InForce, line.Members)
+	if len(line.Missing) > 0 {
+		text += ", missing " + strings.Join(line.Missing, ", ")
+	}
+	if *s.output != outputTable {
+		data, err := json.Marshal(line)
+		if err != nil {
+			return last, err
+		}
+		text = string(data)
+	}
+	if text == last {
+		return last, nil
+	}
+	_, err := fmt.Fprintln(s.cmd.OutOrStdout(), text)
+	return text, err
+}
--- a/internal/fgentry/operator.go
+++ b/internal/fgentry/operator.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -172,11 +173,18 @@
 	Members    []fgmember.Member `json:"members"`
 }
 
-func (e *Entry) handleStatus(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+func (e *Entry) handleStatus(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	generation := e.config.Generation()
+	if text := r.URL.Query().Get("generation"); text != "" {
+		var err error
+		if generation, err = strconv.ParseUint(text, 10, 64); err != nil {
+			fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "generation is not a number").Write(w, "")
+			return
+		}
+	}
 	writeJSON(w, FleetStatus{
 		VM:         e.settings.raw.VM,
-		Generation: generation,
+		Generation: e.config.Generation(),
 		Status:     e.statusAt(generation),
 		Members:    e.members.State().All(),
 	})
--- a/pkg/fgclient/operator.go
+++ b/pkg/fgclient/operator.go
@@ -4,11 +4,18 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
+	"os"
+	"strconv"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -23,22 +30,79 @@
 	ErrUnauthorized = merry.Sentinel("credential refused")
 	ErrUnreachable  = merry.Sentinel("unreachable")
 	ErrRefused      = merry.Sentinel("refused")
+	// ErrLost means that a call may have taken effect although its answer did
+	// not arrive. It comes with ErrUnreachable.
+	ErrLost = merry.Sentinel("the answer was lost")
 )
 
-// Operator calls the operators' interface of one VM.
+// outcomeUnknown is the outcome of a refusal that may hide an effect.
+const outcomeUnknown = "unknown"
+
+const (
+	// attemptTimeout bounds one call to one VM, so that a silent VM leaves time
+	// for another one. It exceeds the VM's own calls to the platform.
+	attemptTimeout = 5 * time.Second
+	// maxRounds is how often each address is tried after an answer was lost.
+	maxRounds = 3
+	// roundDelay separates the rounds.
+	roundDelay = 300 * time.Millisecond
+	// maxAnswerBytes bounds an answer.
+	maxAnswerBytes = 64 << 20
+)
+
+// OperatorOptions configures an Operator.
+type OperatorOptions struct {
+	// Addresses are base URLs of VMs, such as "http://127.0.0.1:8082". A call
+	// goes to the first one that answers.
+	Addresses []string
+	// Token is the operators' credential.
+	Token string
+	// CAFile holds certificates to trust, in PEM. Empty means the host's.
+	CAFile string
+}
+
+// Operator calls the operators' interface of a VM.
 type Operator struct {
-	base   string
+	bases  []string
 	token  string
 	client http.Client
 }
 
-// NewOperator returns a client for a base URL such as "http://127.0.0.1:8082".
-func NewOperator(base, token string) (*Operator, error) {
-	u, err := url.Parse(base)
-	if err != nil || u.Host == "" {
-		return nil, fmt.Errorf("%w: operator address is %q; accepted is http://HOST:PORT or https://HOST:PORT", ErrInvalid, base)
+// NewOperator returns a client.
+func NewOperator(o OperatorOptions) (*Operator, error) {
+	out := &Operator{token: o.Token}
+	for _, address := range o.Addresses {
+		u, err := url.Parse(address)
+		if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			return nil, fmt.Errorf("%w: operator address is %q; accepted is http://HOST:PORT or https://HOST:PORT", ErrInvalid, address)
+		}
+		out.bases = append(out.bases, u.Scheme+"://"+u.Host)
+	}
+	if len(out.bases) == 0 {
+		return nil, fmt.Errorf("%w: no operator address is given", ErrInvalid)
+	}
+	transport := &http.Transport{}
+	if o.CAFile != "" {
+		pool, err := readPool(o.CAFile)
+		if err != nil {
+			return nil, err
+		}
+		transport.TLSClientConfig = &tls.Config{RootCAs: pool}
+	}
+	out.client.Transport = transport
+	return out, nil
+}
+
+func readPool(file string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, fmt.Errorf("%w: %s holds no certificate in PEM", ErrInvalid, file)
 	}
-	return &Operator{base: u.Scheme + "://" + u.Host, token: token}, nil
+	return pool, nil
 }
 
 // Change is a change of the configuration: all of it applies, or none.
@@ -90,46 +154,107 @@
 	Leaving          bool   `json:"leaving"`
 }
 
-// Status returns the fleet's status.
-func (o *Operator) Status(ctx context.Context) (FleetStatus, error) {
+// Status returns the fleet's status. A generation other than 0 asks which
+// members apply at least that one.
+func (o *Operator) Status(ctx context.Context, generation uint64) (FleetStatus, error) {
+	path := "/v1/status"
+	if generation > 0 {
+		path += "?generation=" + strconv.FormatUint(generation, 10)
+	}
 	var out FleetStatus
-	err := o.call(ctx, http.MethodGet, "/v1/status", nil, &out)
+	err := o.call(ctx, http.MethodGet, path, nil, &out)
 	return out, err
 }
 
+// call tries the addresses in turn. A refusal is final. A call whose answer was
+// lost may have taken effect; it is repeated as it was, so that a VM recognises
+// a change by its id.
 func (o *Operator) call(ctx context.Context, method, path string, in, out any) error {
-	var body io.Reader
+	var body []byte
 	if in != nil {
-		data, err := json.Marshal(in)
-		if err != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
 			return err
 		}
-		body = bytes.NewReader(data)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, o.base+path, body)
+	var err error
+	for range maxRounds {
+		lost := false
+		for _, base := range o.bases {
+			err = o.attempt(ctx, method, base+path, body, out)
+			if err != nil && ctx.Err() != nil {
+				return ended(ctx, err)
+			}
+			if err == nil || !errors.Is(err, ErrUnreachable) {
+				return err
+			}
+			lost = lost || errors.Is(err, ErrLost)
+		}
+		if !lost {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ended(ctx, err)
+		case <-time.After(roundDelay):
+		}
+	}
+	return err
+}
+
+func (o *Operator) attempt(ctx context.Context, method, address string, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
 	req.Header.Set("Authorization", "Bearer "+o.token)
 	res, err := o.client.Do(req)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+		return unreachable(err)
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
 		return refusal(res)
 	}
-	return json.NewDecoder(res.Body).Decode(out)
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxAnswerBytes)).Decode(out); err != nil {
+		return unreachable(err)
+	}
+	return nil
+}
+
+// ended reports that the caller's time ran out during a call.
+func ended(ctx context.Context, err error) error {
+	if errors.Is(err, ErrLost) {
+		return fmt.Errorf("%w: %w: %s", ctx.Err(), ErrLost, err.Error())
+	}
+	return fmt.Errorf("%w: %s", ctx.Err(), err.Error())
+}
+
+// unreachable tells a call that reached no VM from one whose answer was lost.
+// The cause is kept as text: the timeout of an attempt is not the caller's.
+func unreachable(err error) error {
+	var op *net.OpError
+	var certificate *tls.CertificateVerificationError
+	if errors.As(err, &op) && op.Op == "dial" || errors.As(err, &certificate) {
+		return fmt.Errorf("%w: %s", ErrUnreachable, err.Error())
+	}
+	return fmt.Errorf("%w: %w: %s", ErrUnreachable, ErrLost, err.Error())
 }
 
 func refusal(res *http.Response) error {
 	var p struct {
-		Code   string `json:"code"`
-		Detail string `json:"detail"`
+		Code    string `json:"code"`
+		Detail  string `json:"detail"`
+		Outcome string `json:"outcome"`
 	}
 	if err := json.NewDecoder(res.Body).Decode(&p); err != nil {
 		return fmt.Errorf("%w: status %s", ErrRefused, res.Status)
 	}
+	if p.Outcome == outcomeUnknown {
+		return fmt.Errorf("%w: %w: %s: %s", sentinel(res.StatusCode), ErrLost, p.Code, p.Detail)
+	}
 	return fmt.Errorf("%w: %s: %s", sentinel(res.StatusCode), p.Code, p.Detail)
 }
 
