--- a/pkg/fgclient/caller.go
+++ b/pkg/fgclient/caller.go
@@ -55,6 +55,9 @@
 // NewClient returns a client for callers.
 func NewClient(o ClientOptions) (*Client, error) {
 	c := &Client{options: o, client: http.Client{Transport: o.Transport}}
+	// A redirect is an upstream's answer like any other; following it could
+	// take the key elsewhere.
+	c.client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	for _, address := range o.Addresses {
 		u, err := url.Parse(address)
 		if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
