Add metrics in a registry of their own

/metrics showed only the runtime's values from the global registry, which the two entries of filbertgap dev would share. fgmetrics counts requests by route, outcome and code, latency per route, requests in flight, headroom, drain time and refusals within the rate per workspace. No label comes from a request, so their number is bounded by the declared resources.

A refusal for lack of capacity hits a request that its workspace's rate has admitted, so it counts as within the rate; for rate-exceeded only the limits know, and call RefusedWithinRate. With no-capacity left out, TestMetrics misses filbertgap_refused_within_rate_total{workspace="committee"} 2.

--- a/internal/fgentry/caller.go
+++ b/internal/fgentry/caller.go
@@ -42,6 +42,9 @@
 	route     *fgconfig.Route
 	key       *fgconfig.Key
 	workspace string
+	// refusal and ended tell the metrics how the call ended.
+	refusal *fgproblem.Problem
+	ended   bool
 }
 
 func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
@@ -50,9 +53,12 @@
 		c.id = fgrequest.NewTraceID()
 	}
 	w.Header().Set(headerRequestID, c.id)
+	measured := e.metrics.Begin()
+	defer func() { c.observe(measured) }()
 	if err := e.serve(w, r, c); err != nil {
 		e.refuse(w, c, err)
 	}
+	c.ended = true
 }
 
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, c *call) error {
@@ -178,5 +184,6 @@
 		e.logger.Error(err, "request failed", "requestId", c.id)
 	}
 	e.logger.Info("request", "requestId", c.id, "workspace", c.workspace, "vm", e.settings.raw.VM, "upstream", "", "outcome", p.Outcome(), "reason", p.Code())
+	c.refusal = p
 	p.Write(w, c.id)
 }
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgsync"
+	"github.com/filbertgap/filbertgap/internal/fgmetrics"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
@@ -46,6 +47,7 @@
 	reports     fgmember.Reports
 	dialer      *fgpeer.Dialer
 	upstreams   *fgupstream.Client
+	metrics     *fgmetrics.Metrics
 	listeners   listeners
 }
 
@@ -67,6 +69,7 @@
 		}),
 		dialer:    fgpeer.NewDialer(s.fleetSecret),
 		upstreams: fgupstream.New(),
+		metrics:   fgmetrics.New(),
 	}
 }
 
--- a/internal/fgentry/operator.go
+++ b/internal/fgentry/operator.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
@@ -191,8 +190,12 @@
 }
 
 func (e *Entry) metricsHandler() http.Handler {
+	metrics := e.metrics.Handler()
 	r := httprouter.New()
-	r.Handler(http.MethodGet, "/metrics", promhttp.Handler())
+	r.GET("/metrics", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		e.metrics.SetGeneration(e.config.Generation())
+		metrics.ServeHTTP(w, r)
+	})
 	r.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { _, _ = w.Write([]byte("ok\n")) })
 	r.GET("/readyz", e.handleReady)
 	return r
