--- a/internal/fgcommand/entry.go
+++ b/internal/fgcommand/entry.go
@@ -16,7 +16,11 @@
 	cmd := &cobra.Command{
 		Use:   "entry",
 		Short: "Run one entry process",
-		Args:  cobra.NoArgs,
+		Long: "Run one entry process. SIGTERM or SIGINT stops it gracefully: it leaves the look-up answers, serves callers with\n" +
+			"cached answers for --drain-wait, and waits up to --drain-timeout for requests in flight.",
+		Example: "  filbertgap entry --vm vm-1 --region nairobi --availability-zone nairobi-a --platform http://10.0.0.1:2400 \\\n" +
+			"    --fleet-secret-file fleet.secret --operator-token-file operator.token\n  filbertgap entry --check",
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			settings, err := raw.Check()
 			if err != nil {
@@ -51,6 +55,10 @@
 	f.StringVar(&raw.Platform, "platform", "", "base URL of the platform's key-value service")
 	f.StringVar(&raw.FleetSecretFile, "fleet-secret-file", "", "file with the secret shared by the fleet's VMs")
 	f.StringVar(&raw.OperatorTokenFile, "operator-token-file", "", "file with the operators' credential")
+	f.StringVar(&raw.CallerTLSCertFile, "caller-tls-cert-file", "", "certificate for callers, in PEM (default: no TLS)")
+	f.StringVar(&raw.CallerTLSKeyFile, "caller-tls-key-file", "", "private key of the certificate for callers")
+	f.StringVar(&raw.OperatorTLSCertFile, "operator-tls-cert-file", "", "certificate for operators, in PEM; needed on other than loopback addresses")
+	f.StringVar(&raw.OperatorTLSKeyFile, "operator-tls-key-file", "", "private key of the certificate for operators")
 	f.DurationVar(&raw.DrainWait, "drain-wait", 30*time.Second, "how long a leaving VM serves callers with cached look-ups")
 	f.DurationVar(&raw.DrainTimeout, "drain-timeout", time.Minute, "how long a leaving VM waits for requests in flight")
 	return cmd
--- a/internal/fgcommand/lookup.go
+++ b/internal/fgcommand/lookup.go
@@ -12,6 +12,7 @@
 
 func newLookup() *cobra.Command {
 	var entries []string
+	var caFile string
 	var timeout time.Duration
 	var output outputFormat
 	cmd := &cobra.Command{
@@ -20,7 +21,7 @@
 		Example: "  filbertgap lookup --entry http://127.0.0.1:8080 -o json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			client, err := fgclient.NewClient(fgclient.ClientOptions{Addresses: entries})
+			client, err := fgclient.NewClient(fgclient.ClientOptions{Addresses: entries, CAFile: caFile})
 			if err != nil {
 				return fmt.Errorf("%w: --entry: %w", errUsage, err)
 			}
@@ -38,6 +39,7 @@
 		},
 	}
 	cmd.Flags().StringSliceVar(&entries, "entry", []string{"http://127.0.0.1:8080"}, "base URL of a VM's callers' interface; may be repeated")
+	cmd.Flags().StringVar(&caFile, "entry-ca-file", "", "file with certificates to trust (default: the host's)")
 	cmd.Flags().DurationVar(&timeout, "timeout", 10*time.Second, "how long to wait")
 	output.add(cmd)
 	return cmd
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -93,6 +93,7 @@
 		}
 		*p.listener = l
 	}
+	e.secureListeners()
 	return nil
 }
 
--- a/internal/fgentry/settings.go
+++ b/internal/fgentry/settings.go
@@ -3,6 +3,7 @@
 package fgentry
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -28,8 +29,13 @@
 	Platform          string
 	FleetSecretFile   string
 	OperatorTokenFile string
-	DrainWait         time.Duration
-	DrainTimeout      time.Duration
+	// The certificate and key files of a listener, in PEM. Empty means no TLS.
+	CallerTLSCertFile   string
+	CallerTLSKeyFile    string
+	OperatorTLSCertFile string
+	OperatorTLSKeyFile  string
+	DrainWait           time.Duration
+	DrainTimeout        time.Duration
 }
 
 // Settings are checked settings.
@@ -37,6 +43,8 @@
 	raw           RawSettings
 	fleetSecret   fgpeer.Secret
 	operatorToken string
+	callerTLS     *tls.Config
+	operatorTLS   *tls.Config
 }
 
 // Check checks all settings and reports all faults at once.
@@ -53,8 +61,17 @@
 		address("metrics-listen", r.MetricsListen),
 		optionalAddress("caller-advertise", r.CallerAdvertise),
 		optionalAddress("peer-advertise", r.PeerAdvertise),
-		loopback("operator-listen", r.OperatorListen),
+		notNegative("drain-wait", r.DrainWait),
+		notNegative("drain-timeout", r.DrainTimeout),
 	}
+	if r.OperatorTLSCertFile == "" {
+		errs = append(errs, loopback("operator-listen", r.OperatorListen))
+	}
+	var err error
+	s.callerTLS, err = readTLS("caller", r.CallerTLSCertFile, r.CallerTLSKeyFile)
+	errs = append(errs, err)
+	s.operatorTLS, err = readTLS("operator", r.OperatorTLSCertFile, r.OperatorTLSKeyFile)
+	errs = append(errs, err)
 	secret, err := readSecretFile("fleet-secret-file", r.FleetSecretFile)
 	if err == nil {
 		s.fleetSecret, err = fgpeer.NewSecret([]byte(secret))
@@ -94,6 +111,13 @@
 	return fmt.Errorf("--%s is %q; without TLS, accepted is a loopback address", flag, value)
 }
 
+func notNegative(flag string, value time.Duration) error {
+	if value >= 0 {
+		return nil
+	}
+	return fmt.Errorf("--%s is %s; accepted is 0s or more", flag, value)
+}
+
 func readSecretFile(flag, path string) (string, error) {
 	if err := required(flag, path); err != nil {
 		return "", err
--- a/pkg/fgclient/caller.go
+++ b/pkg/fgclient/caller.go
@@ -36,6 +36,9 @@
 	Addresses []string
 	// Key is the caller's key. Empty means that none is sent.
 	Key string
+	// CAFile holds certificates to trust, in PEM. Empty means the host's. It is
+	// not used with a Transport.
+	CAFile string
 	// Transport replaces the default transport.
 	Transport http.RoundTripper
 }
@@ -54,7 +57,14 @@
 
 // NewClient returns a client for callers.
 func NewClient(o ClientOptions) (*Client, error) {
-	c := &Client{options: o, client: http.Client{Transport: o.Transport}}
+	transport := o.Transport
+	if transport == nil {
+		var err error
+		if transport, err = newTransport(o.CAFile); err != nil {
+			return nil, err
+		}
+	}
+	c := &Client{options: o, client: http.Client{Transport: transport}}
 	// A redirect is an upstream's answer like any other; following it could
 	// take the key elsewhere.
 	c.client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
