--- /dev/null
+++ b/internal/fgcommand/pages_test.go
@@ -0,0 +1,55 @@
+package fgcommand
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
+)
+
+// Guards against settings and refusal codes that docs/operations.md lacks.
+func TestOperationsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	newEntry().Flags().VisitAll(func(f *pflag.Flag) {
+		if !strings.Contains(string(page), "`--"+f.Name+"`") {
+			t.Errorf("--%s is not described", f.Name)
+		}
+	})
+	for _, code := range fgproblem.Codes() {
+		if !strings.Contains(string(page), "| `"+string(code)+"` |") {
+			t.Errorf("code %s is not described", code)
+		}
+	}
+}
+
+// Guards against codes that Codes leaves out, which pages and metrics then miss.
+func TestCodesAreComplete(t *testing.T) {
+	source, err := os.ReadFile("../protocol/fgproblem/problem.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := len(fgproblem.Codes()), strings.Count(string(source), ` Code = "`); got != want {
+		t.Errorf("Codes returns %d codes, %d are declared", got, want)
+	}
+}
+
+// Guards against a command without help or examples.
+func TestHelp(t *testing.T) {
+	var visit func(*cobra.Command)
+	visit = func(c *cobra.Command) {
+		if c.Short == "" || c.Example == "" {
+			t.Errorf("%s has no short help or no example", c.CommandPath())
+		}
+		for _, child := range c.Commands() {
+			visit(child)
+		}
+	}
+	visit(newRoot())
+}
--- a/internal/fgcommand/standin.go
+++ b/internal/fgcommand/standin.go
@@ -13,7 +13,7 @@
 )
 
 func newStandin() *cobra.Command {
-	cmd := &cobra.Command{Use: "standin", Short: "Run a stand-in of an outside system, for tests"}
+	cmd := &cobra.Command{Use: "standin", Short: "Run a stand-in of an outside system, for tests", Example: "  filbertgap standin platform"}
 	cmd.AddCommand(newStandinPlatform(), newStandinUpstream())
 	return cmd
 }
@@ -21,9 +21,10 @@
 func newStandinPlatform() *cobra.Command {
 	var listen string
 	cmd := &cobra.Command{
-		Use:   "platform",
-		Short: "Run the key-value service and the VM list",
-		Args:  cobra.NoArgs,
+		Use:     "platform",
+		Short:   "Run the key-value service and the VM list",
+		Example: "  filbertgap standin platform --listen 127.0.0.1:2400",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var p fgstandin.Platform
 			return serveStandin(cmd, listen, p.Handler())
@@ -37,9 +38,10 @@
 	var listen string
 	var b fgstandin.Behavior
 	cmd := &cobra.Command{
-		Use:   "upstream",
-		Short: "Run an upstream",
-		Args:  cobra.NoArgs,
+		Use:     "upstream",
+		Short:   "Run an upstream",
+		Example: "  filbertgap standin upstream --listen 127.0.0.1:9000 --slots 3 --service-millis 20",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var u fgstandin.Upstream
 			u.SetBehavior(b)
