Search requests for keys with fewer allocations

Each request built a replacer and decoded every run of base64 characters four times on the heap. Runs are now decoded on the stack, and only those long enough for a real id and the beginning of a secret.

--- a/internal/protocol/fgkey/detect.go
+++ b/internal/protocol/fgkey/detect.go
@@ -1,9 +1,6 @@
 package fgkey
 
-import (
-	"encoding/base64"
-	"strings"
-)
+import "strings"
 
 const (
 	// length is the number of bytes of a key.
@@ -14,12 +11,18 @@
 	// nesting cannot hide one.
 	maxDepth = 4
 
-	// minBase64 is the length of the shortest base64 text that can hold the
-	// beginning of a key: the prefix, one character of the id, the separator
-	// and one character of the secret.
-	minBase64 = (len(Prefix) + 3) * 4 / 3
+	// minPlain is the length of the shortest text that counts as a key's form.
+	minPlain = len(Prefix) + 3
+
+	// minBytes is the length of the shortest beginning of a key that tells
+	// something of its secret.
+	minBytes = len(Prefix) + 2*idBytes + 2
+	// minBase64 is the length of the base64 text of minBytes.
+	minBase64 = minBytes * 4 / 3
 
-	base64Group = 4
+	// decodedBytes is the size of a decoded run that needs no allocation.
+	decodedBytes = 512
+	base64Group  = 4
 )
 
 // Contains reports whether text contains something of a key's form, plain or
@@ -38,17 +41,16 @@
 }
 
 // containsPlain looks for fgk_<alphanumerics>_<alphanumeric>.
-func containsPlain(text string) bool {
-	for i := 0; i+len(Prefix) < len(text); i++ {
-		if text[i]|0x20 != Prefix[0] || !strings.EqualFold(text[i:i+len(Prefix)], Prefix) {
+func containsPlain[T string | []byte](text T) bool {
+	for i := 0; i+minPlain <= len(text); i++ {
+		if text[i]|0x20 != Prefix[0] || text[i+1]|0x20 != Prefix[1] || text[i+2]|0x20 != Prefix[2] || text[i+3] != Prefix[3] {
 			continue
 		}
-		id := 0
-		rest := text[i+len(Prefix):]
-		for id < len(rest) && isAlphanumeric(rest[id]) {
+		id := i + len(Prefix)
+		for id < len(text) && isAlphanumeric(text[id]) {
 			id++
 		}
-		if id > 0 && id+1 < len(rest) && rest[id] == '_' && isAlphanumeric(rest[id+1]) {
+		if id > i+len(Prefix) && id+1 < len(text) && text[id] == '_' && isAlphanumeric(text[id+1]) {
 			return true
 		}
 	}
@@ -116,33 +118,57 @@
 	if depth == 0 {
 		return false
 	}
-	standard := strings.NewReplacer("-", "+", "_", "/").Replace(run)
+	var stack [decodedBytes]byte
 	for offset := range base64Group {
-		part := standard[offset:]
-		if len(part)%base64Group == 1 {
-			part = part[:len(part)-1]
-		}
-		decoded, err := base64.RawStdEncoding.DecodeString(part)
-		if err == nil && mayHoldKey(decoded) && contains(string(decoded), depth-1) {
+		decoded := decodeRun(stack[:0], run[offset:])
+		if containsPlain(decoded) || mayBeEncoded(decoded) && contains(string(decoded), depth-1) {
 			return true
 		}
 	}
 	return false
 }
 
-// mayHoldKey skips decoded runs that are not text around a key, so that random
-// tokens are not searched for further encodings.
-func mayHoldKey(decoded []byte) bool {
+// decodeRun decodes base64 of either alphabet without padding. The bits of an
+// incomplete last byte are dropped.
+func decodeRun(out []byte, run string) []byte {
+	bits, count := uint32(0), 0
+	for i := range len(run) {
+		bits = bits<<6 | uint32(base64Value(run[i]))
+		if count += 6; count >= 8 {
+			count -= 8
+			out = append(out, byte(bits>>count))
+		}
+	}
+	return out
+}
+
+func base64Value(c byte) byte {
+	switch {
+	case 'A' <= c && c <= 'Z':
+		return c - 'A'
+	case 'a' <= c && c <= 'z':
+		return c - 'a' + 26
+	case '0' <= c && c <= '9':
+		return c - '0' + 52
+	case c == '+' || c == '-':
+		return 62
+	default:
+		return 63
+	}
+}
+
+// mayBeEncoded reports whether decoded bytes hold enough text for a key that is
+// encoded once more, so that random tokens are not searched further.
+func mayBeEncoded(decoded []byte) bool {
 	printable := 0
 	for _, c := range decoded {
-		if ' ' <= c && c <= '~' {
-			printable++
-			if printable >= len(Prefix)+3 {
-				return true
-			}
+		if c < ' ' || c > '~' {
+			printable = 0
 			continue
 		}
-		printable = 0
+		if printable++; printable >= minBytes {
+			return true
+		}
 	}
 	return false
 }
--- a/internal/protocol/fgkey/scrub_test.go
+++ b/internal/protocol/fgkey/scrub_test.go
@@ -247,3 +247,35 @@
 		}
 	})
 }
+
+// BenchmarkScrub measures a request as a browser sends it.
+func BenchmarkScrub(b *testing.B) {
+	in := httptest.NewRequest(http.MethodGet, "/catalogue/frames?page=2&sort=name%20up", nil)
+	in.Header = http.Header{
+		"Authorization": {"Bearer " + testKey}, "Accept": {"text/html,application/xhtml+xml,application/xml;q=0.9,*/*;q=0.8"},
+		"User-Agent":  {"Mozilla/5.0 (X11; Linux x86_64; rv:140.0) Gecko/20100101 Firefox/140.0"},
+		"Cookie":      {"session=dGhpcyBpcyBub3QgYSBrZXkgYXQgYWxs; theme=dark"},
+		"Traceparent": {"00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"}, "Accept-Encoding": {"gzip, deflate, br"},
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r := *in
+		if err := CheckURL(&r); err != nil {
+			b.Fatal(err)
+		}
+		Scrub(&r)
+	}
+}
+
+// BenchmarkBody measures the search of a body without a key.
+func BenchmarkBody(b *testing.B) {
+	data := bytes.Repeat([]byte(`{"name":"frame","count":12,"fgk":"no"},`), 27000)
+	b.SetBytes(int64(len(data)))
+	b.ReportAllocs()
+	for b.Loop() {
+		body := newScannedBody(io.NopCloser(bytes.NewReader(data)))
+		if _, err := io.Copy(io.Discard, struct{ io.Reader }{body}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
