--- a/internal/fgcommand/dev.go
+++ b/internal/fgcommand/dev.go
@@ -37,6 +37,7 @@
 	// devStopTimeout bounds a stop; what has not ended by then ends with the process.
 	devStopTimeout = 1800 * time.Millisecond
 	devWorkspace   = "committee"
+	devPath        = "/catalogue/frames"
 )
 
 // devVMs are the entries of the development system.
@@ -274,10 +275,40 @@
 		return key, err
 	}
 	change := changeFlags{wait: true}
-	_, err = change.submit(s, fgclient.Change{Put: resources})
-	return key, err
+	if _, err := change.submit(s, fgclient.Change{Put: resources}); err != nil {
+		return key, err
+	}
+	return key, d.waitServing(s, key)
 }
 
+// waitServing waits until the first VM serves a request, so that the printed
+// lines work at once: a new process starts without rate and slots.
+func (d *devSystem) waitServing(s *session, key fgkey.Key) error {
+	client, err := fgclient.NewClient(fgclient.ClientOptions{Addresses: []string{d.callers(0)}, Key: key.Reveal()})
+	if err != nil {
+		return err
+	}
+	for {
+		req, err := http.NewRequestWithContext(s.ctx, http.MethodGet, d.callers(0)+devPath, nil)
+		if err != nil {
+			return err
+		}
+		status := "no answer"
+		if res, err := client.Do(req); err == nil {
+			status = res.Status
+			_ = res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if err := s.pause(); err != nil {
+			return fmt.Errorf("%s is not served, last %s: %w", devPath, status, err)
+		}
+	}
+}
+
+func (d *devSystem) callers(i int) string { return "http://" + d.entries[i].CallerAddress() }
+
 func declare(kind fgapi.Kind, name string, spec fgapi.Spec) fgapi.Resource {
 	return fgapi.Resource{APIVersion: fgapi.Version, Kind: kind, Metadata: fgapi.Metadata{Name: name}, Spec: spec}
 }
@@ -302,13 +333,13 @@
 	var b strings.Builder
 	rows := table{{"VM", "REGION", "CALLERS", "OPERATORS", "METRICS"}}
 	for i, e := range d.entries {
-		rows = append(rows, []string{devVMs[i].name, devVMs[i].region, "http://" + e.CallerAddress(), "http://" + e.OperatorAddress(), "http://" + e.MetricsAddress() + "/metrics"})
+		rows = append(rows, []string{devVMs[i].name, devVMs[i].region, d.callers(i), "http://" + e.OperatorAddress(), "http://" + e.MetricsAddress() + "/metrics"})
 	}
 	_ = rows.print(&b)
 	fmt.Fprintf(&b, "\nstand-in platform http://%s, upstreams %s\n", d.address, strings.Join(d.upstreams, " "))
 	fmt.Fprintf(&b, "\nsample key, shown once, of workspace %s:\n  %s\n", devWorkspace, key.Reveal())
-	caller := "http://" + d.entries[0].CallerAddress()
-	fmt.Fprintf(&b, "\ntry:\n  curl -i -H 'Authorization: Bearer %s' %s/catalogue/frames\n", key.Reveal(), caller)
+	caller := d.callers(0)
+	fmt.Fprintf(&b, "\ntry:\n  curl -i -H 'Authorization: Bearer %s' %s%s\n", key.Reveal(), caller, devPath)
 	fmt.Fprintf(&b, "  curl -i -X POST -H 'Authorization: Bearer %s' -H 'Idempotency-Key: %s' -d 'frames=2' %s/reservations\n", key.Reveal(), fgrequest.NewTraceID(), caller)
 	fmt.Fprintf(&b, "  go run ./cmd/filbertgap get routes --operator http://%s --operator-token-file %s\n", d.entries[0].OperatorAddress(), d.tokenFile())
 	fmt.Fprintf(&b, "\npress Ctrl-C to stop\n")
