Hold a watch at the VM until something changes

watch asked for the resource ten times a second. The resources endpoint now holds an answer until its ETag differs from the one that the client has seen, up to 3 s per call. Members' reports have no signal of their own, so the VM looks at them every 50 ms while a watch waits.

--- a/internal/fgcommand/resources.go
+++ b/internal/fgcommand/resources.go
@@ -1,6 +1,7 @@
 package fgcommand
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -203,19 +204,21 @@
 		if err != nil {
 			return err
 		}
-		last := ""
+		var status *fgapi.Status
+		last, tag := "", ""
 		for {
-			resources, err := s.client.Get(s.ctx, kind, name)
+			var resources []fgapi.Resource
+			resources, tag, err = s.client.Watch(s.ctx, kind, name, tag)
+			if errors.Is(err, context.DeadlineExceeded) {
+				return notInForce(status, err)
+			}
 			if err != nil {
 				return err
 			}
-			status := resources[0].Status
+			status = resources[0].Status
 			if last, err = s.printChange(resources[0], last); err != nil || status.Complete() {
 				return err
 			}
-			if err := s.pause(); err != nil {
-				return notInForce(status, err)
-			}
 		}
 	})
 }
--- a/internal/fgentry/operator.go
+++ b/internal/fgentry/operator.go
@@ -1,7 +1,10 @@
 package fgentry
 
 import (
+	"context"
+	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -126,27 +129,86 @@
 	}
 }
 
+// maxWatchWait bounds how long a watch is held without a change.
+const maxWatchWait = 30 * time.Second
+
+// reportInterval separates the looks at the other VMs' reports during a watch.
+const reportInterval = 50 * time.Millisecond
+
+// handleResources answers with resources and their status. With wait, it holds
+// the answer until its ETag differs from If-None-Match, or answers 304.
 func (e *Entry) handleResources(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	s := e.config.State()
-	resources := s.All()
-	if text := r.URL.Query().Get("kind"); text != "" {
-		k, ok := fgapi.ParseKind(text)
-		if !ok {
+	q := r.URL.Query()
+	var kind fgapi.Kind
+	if text := q.Get("kind"); text != "" {
+		var ok bool
+		if kind, ok = fgapi.ParseKind(text); !ok {
 			fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "kind "+text+" is unknown").Write(w, "")
 			return
 		}
-		resources = s.Resources(k)
 	}
-	name := r.URL.Query().Get("name")
+	var wait time.Duration
+	if text := q.Get("wait"); text != "" {
+		var err error
+		if wait, err = time.ParseDuration(text); err != nil || wait < 0 || wait > maxWatchWait {
+			fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "wait is "+text+"; accepted is a duration up to "+maxWatchWait.String()).Write(w, "")
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	body, tag := e.watchResources(ctx, kind, q.Get("name"), r.Header.Get("If-None-Match"))
+	w.Header().Set("ETag", tag)
+	if tag == r.Header.Get("If-None-Match") {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+// watchResources returns the resources as JSON with a tag of that text, once the
+// tag differs from the one seen or the context ends.
+func (e *Entry) watchResources(ctx context.Context, kind fgapi.Kind, name, seen string) ([]byte, string) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		changed := e.config.Changed()
+		body, err := json.Marshal(e.resources(kind, name))
+		if err != nil {
+			e.logger.Error(err, "encode resources")
+		}
+		sum := sha256.Sum256(body)
+		tag := `"` + hex.EncodeToString(sum[:8]) + `"`
+		if tag != seen || ctx.Err() != nil {
+			return body, tag
+		}
+		select {
+		case <-ctx.Done():
+			return body, tag
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// resources returns the resources of a kind and name with their status. Empty
+// means all.
+func (e *Entry) resources(kind fgapi.Kind, name string) []fgapi.Resource {
+	s := e.config.State()
+	found := s.All()
+	if kind != "" {
+		found = s.Resources(kind)
+	}
 	out := []fgapi.Resource{}
-	for _, res := range resources {
+	for _, res := range found {
 		if name != "" && res.Metadata.Name != name {
 			continue
 		}
 		res.Status = e.statusAt(res.Metadata.ResourceVersion)
 		out = append(out, res)
 	}
-	writeJSON(w, out)
+	return out
 }
 
 // statusAt counts the members that apply a generation.
--- a/pkg/fgclient/operator.go
+++ b/pkg/fgclient/operator.go
@@ -35,6 +35,9 @@
 	ErrLost = merry.Sentinel("the answer was lost")
 )
 
+// errNotModified means that a watch saw no change.
+var errNotModified = merry.Sentinel("not modified")
+
 // outcomeUnknown is the outcome of a refusal that may hide an effect.
 const outcomeUnknown = "unknown"
 
@@ -46,6 +49,8 @@
 	maxRounds = 3
 	// roundDelay separates the rounds.
 	roundDelay = 300 * time.Millisecond
+	// watchWait is how long a VM holds a watch without a change.
+	watchWait = 3 * time.Second
 	// maxAnswerBytes bounds an answer.
 	maxAnswerBytes = 64 << 20
 )
@@ -121,23 +126,47 @@
 	var out struct {
 		Generation uint64 `json:"generation"`
 	}
-	err := o.call(ctx, http.MethodPost, "/v1/changes", c, &out)
+	body, err := json.Marshal(c)
+	if err != nil {
+		return 0, err
+	}
+	err = o.run(ctx, &call{method: http.MethodPost, path: "/v1/changes", body: body, out: &out})
 	return out.Generation, err
 }
 
 // Get returns resources with their status. Empty kind or name means all.
 func (o *Operator) Get(ctx context.Context, kind fgapi.Kind, name string) ([]fgapi.Resource, error) {
+	out, _, err := o.get(ctx, kind, name, "")
+	return out, err
+}
+
+// Watch returns resources like Get, once they or their status differ from what
+// the tag stands for, and the tag to continue with. An empty tag returns at once.
+func (o *Operator) Watch(ctx context.Context, kind fgapi.Kind, name, tag string) ([]fgapi.Resource, string, error) {
+	for {
+		out, next, err := o.get(ctx, kind, name, tag)
+		if !errors.Is(err, errNotModified) {
+			return out, next, err
+		}
+	}
+}
+
+func (o *Operator) get(ctx context.Context, kind fgapi.Kind, name, tag string) ([]fgapi.Resource, string, error) {
 	q := url.Values{}
 	q.Set("kind", string(kind))
 	q.Set("name", name)
+	if tag != "" {
+		q.Set("wait", watchWait.String())
+	}
 	var out []fgapi.Resource
-	if err := o.call(ctx, http.MethodGet, "/v1/resources?"+q.Encode(), nil, &out); err != nil {
-		return nil, err
+	c := call{method: http.MethodGet, path: "/v1/resources?" + q.Encode(), out: &out, tag: tag}
+	if err := o.run(ctx, &c); err != nil {
+		return nil, tag, err
 	}
 	if name != "" && len(out) == 0 {
-		return nil, fmt.Errorf("%s/%s: %w", kind, name, ErrNotFound)
+		return nil, "", fmt.Errorf("%s/%s: %w", kind, name, ErrNotFound)
 	}
-	return out, nil
+	return out, c.tag, nil
 }
 
 // FleetStatus describes the fleet as one VM sees it.
@@ -165,26 +194,28 @@
 		path += "?generation=" + strconv.FormatUint(generation, 10)
 	}
 	var out FleetStatus
-	err := o.call(ctx, http.MethodGet, path, nil, &out)
+	err := o.run(ctx, &call{method: http.MethodGet, path: path, out: &out})
 	return out, err
 }
 
-// call tries the addresses in turn. A refusal is final. A call whose answer was
+// call is one call of the operators' interface.
+type call struct {
+	method, path string
+	body         []byte
+	out          any
+	// tag is sent as If-None-Match and replaced by the answer's ETag.
+	tag string
+}
+
+// run tries the addresses in turn. A refusal is final. A call whose answer was
 // lost may have taken effect; it is repeated as it was, so that a VM recognises
 // a change by its id.
-func (o *Operator) call(ctx context.Context, method, path string, in, out any) error {
-	var body []byte
-	if in != nil {
-		var err error
-		if body, err = json.Marshal(in); err != nil {
-			return err
-		}
-	}
+func (o *Operator) run(ctx context.Context, c *call) error {
 	var err error
 	for range maxRounds {
 		lost := false
 		for _, base := range o.bases {
-			err = o.attempt(ctx, method, base+path, body, out)
+			err = o.attempt(ctx, base, c)
 			if err != nil && ctx.Err() != nil {
 				return ended(ctx, err)
 			}
@@ -205,23 +236,30 @@
 	return err
 }
 
-func (o *Operator) attempt(ctx context.Context, method, address string, body []byte, out any) error {
+func (o *Operator) attempt(ctx context.Context, base string, c *call) error {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, c.method, base+c.path, bytes.NewReader(c.body))
 	if err != nil {
 		return err
 	}
 	req.Header.Set("Authorization", "Bearer "+o.token)
+	if c.tag != "" {
+		req.Header.Set("If-None-Match", c.tag)
+	}
 	res, err := o.client.Do(req)
 	if err != nil {
 		return unreachable(err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode == http.StatusNotModified {
+		return errNotModified
+	}
 	if res.StatusCode != http.StatusOK {
 		return refusal(res)
 	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxAnswerBytes)).Decode(out); err != nil {
+	c.tag = res.Header.Get("ETag")
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxAnswerBytes)).Decode(c.out); err != nil {
 		return unreachable(err)
 	}
 	return nil
--- a/pkg/fgclient/operator_test.go
+++ b/pkg/fgclient/operator_test.go
@@ -153,3 +153,31 @@
 		t.Errorf("id is %q, and %d further requests arrived", id, len(arrived))
 	}
 }
+
+// Guards against a watch that ends without a change or forgets what it has seen.
+func TestWatch(t *testing.T) {
+	seen := make(chan string, 10)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Header.Get("If-None-Match") + " " + r.URL.Query().Get("wait")
+		if len(seen) < 3 {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		w.Header().Set("ETag", "new")
+		_, _ = w.Write([]byte(`[{"kind":"Workspace","metadata":{"name":"a"},"spec":{}}]`))
+	}))
+	defer server.Close()
+	o, err := NewOperator(OperatorOptions{Addresses: []string{server.URL}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resources, tag, err := o.Watch(t.Context(), "Workspace", "a", "old")
+	if err != nil || len(resources) != 1 || tag != "new" {
+		t.Errorf("got %v, tag %q, error %v", resources, tag, err)
+	}
+	for range 3 {
+		if got := <-seen; got != "old 3s" {
+			t.Errorf("call with %q", got)
+		}
+	}
+}
