Bound request ids and changes, and keep a body for the next VM

A caller's request id of any length went into every log line; above 128 bytes it is replaced. A change above the limit was refused as unreadable; the error now says how large it may be. fgclient.Do sent an empty body to the second VM when the first refused the connection; it now reads the body again. TestDo fails without that (the body did not arrive).

--- a/internal/fgentry/caller.go
+++ b/internal/fgentry/caller.go
@@ -23,6 +23,9 @@
 	headerRequestID = "X-Request-Id"
 	headerWorkspace = "Filbertgap-Workspace"
 	headerTimeout   = "Request-Timeout-Ms"
+
+	// maxRequestIDBytes bounds a caller's request id, which log lines repeat.
+	maxRequestIDBytes = 128
 )
 
 func (e *Entry) callerHandler() http.Handler {
@@ -49,7 +52,7 @@
 
 func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
 	c := &call{id: r.Header.Get(headerRequestID), snapshot: e.config.State()}
-	if c.id == "" || fgkey.Contains(c.id) {
+	if c.id == "" || len(c.id) > maxRequestIDBytes || fgkey.Contains(c.id) {
 		c.id = fgrequest.NewTraceID()
 	}
 	w.Header().Set(headerRequestID, c.id)
--- a/internal/fgentry/operator.go
+++ b/internal/fgentry/operator.go
@@ -65,7 +65,11 @@
 	var in changeRequest
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes))
 	d.DisallowUnknownFields()
-	if err := d.Decode(&in); err != nil {
+	err := d.Decode(&in)
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		return "", fgconfig.Change{}, fmt.Errorf("the change has more than %d bytes; split it", maxChangeBytes)
+	}
+	if err != nil {
 		return "", fgconfig.Change{}, fmt.Errorf("the change cannot be read: %w", err)
 	}
 	if in.ChangeID == "" || len(in.ChangeID) > maxChangeIDBytes {
@@ -73,7 +77,6 @@
 	}
 	c := fgconfig.Change{Delete: in.Delete}
 	if len(in.Put) > 0 {
-		var err error
 		if c.Put, err = fgapi.Decode("put", in.Put); err != nil {
 			return "", fgconfig.Change{}, err
 		}
--- a/internal/fgentry/operator_test.go
+++ b/internal/fgentry/operator_test.go
@@ -50,6 +50,7 @@
 func TestReadChange(t *testing.T) {
 	tests := []struct{ name, body, want string }{
 		{"unknown field", `{"changeId":"c","puts":[]}`, `the change cannot be read: json: unknown field "puts"`},
+		{"too large", `{"changeId":"` + strings.Repeat("c", maxChangeBytes) + `"}`, "the change has more than 131072 bytes; split it"},
 		{"no id", `{"put":[]}`, "changeId has 0 bytes; accepted are 1 to 64"},
 		{"empty", `{"changeId":"c"}`, "the change is empty; accepted is at least one resource in put or delete"},
 		{"unknown field of a resource", `{"changeId":"c","put":[{"apiVersion":"filbertgap/v1","kind":"Workspace","metadata":{"name":"a"},"spec":{"requestsPerSecond":1,"burst":1,"brust":2}}]}`,
--- a/pkg/fgclient/caller.go
+++ b/pkg/fgclient/caller.go
@@ -135,7 +135,8 @@
 // Do sends a request to the first VM of the look-up answer that accepts a
 // connection. The host of the URL is replaced. A request whose answer was lost
 // is not sent again: the caller repeats it with the Idempotency-Key that Do has
-// set in its header.
+// set in its header. A request whose body cannot be read again goes to the first
+// VM only.
 func (c *Client) Do(r *http.Request) (*http.Response, error) {
 	answer, err := c.Lookup(r.Context())
 	if err != nil {
@@ -145,7 +146,16 @@
 		r.Header.Set("Authorization", "Bearer "+c.options.Key)
 	}
 	chosen := r.Header.Get("Idempotency-Key") != ""
-	for _, vm := range answer.VMs {
+	for i, vm := range answer.VMs {
+		if i > 0 && r.Body != nil && r.Body != http.NoBody {
+			// The failed attempt has closed the body.
+			if r.GetBody == nil {
+				return nil, err
+			}
+			if r.Body, err = r.GetBody(); err != nil {
+				return nil, err
+			}
+		}
 		r.URL.Scheme, r.URL.Host, r.Host = c.scheme, vm.Address, vm.Address
 		if !chosen && r.Method != http.MethodGet && r.Method != http.MethodHead {
 			r.Header.Set("Idempotency-Key", vm.IDPrefix+"-"+randomSuffix())
--- a/pkg/fgclient/operator_test.go
+++ b/pkg/fgclient/operator_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -125,6 +127,14 @@
 	}
 }
 
+// closableBody cannot be read after it was closed, like a file.
+type closableBody struct{ io.Reader }
+
+func (b *closableBody) Close() error {
+	b.Reader = strings.NewReader("")
+	return nil
+}
+
 // Guards against a request that is sent twice when its answer was lost, and
 // against a caller that gives up while another VM accepts connections.
 func TestDo(t *testing.T) {
@@ -138,7 +148,8 @@
 			{Address: down[len("http://"):], IDPrefix: "1-1"}, {Address: server.Listener.Addr().String(), IDPrefix: "2-1"}}})
 	})
 	mux.HandleFunc("/orders", func(_ http.ResponseWriter, r *http.Request) {
-		arrived <- r.Header.Get("Idempotency-Key")
+		body, _ := io.ReadAll(r.Body)
+		arrived <- r.Header.Get("Idempotency-Key") + string(body)
 		panic(http.ErrAbortHandler)
 	})
 	c, err := NewClient(ClientOptions{Addresses: []string{down, server.URL}, Key: "k", Transport: &http.Transport{DisableKeepAlives: true}})
@@ -146,10 +157,12 @@
 		t.Fatal(err)
 	}
 	r, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://x/orders", nil)
+	r.GetBody = func() (io.ReadCloser, error) { return &closableBody{Reader: strings.NewReader("frames")}, nil }
+	r.Body, _ = r.GetBody()
 	if _, err := c.Do(r); !errors.Is(err, ErrLost) {
 		t.Errorf("error is %v", err)
 	}
-	if id := <-arrived; len(arrived) > 0 || len(id) != len("2-1-")+32 || id[:4] != "2-1-" {
+	if id := <-arrived; len(arrived) > 0 || len(id) != len("2-1-")+32+len("frames") || !strings.HasSuffix(id, "frames") || id[:4] != "2-1-" {
 		t.Errorf("id is %q, and %d further requests arrived", id, len(arrived))
 	}
 }
