Find the route by method among routes with one prefix

Two routes may share a path prefix when their methods differ, but the request path took the first of them and answered method-not-allowed for the other. The longest prefix still wins; the method decides only among equal prefixes, so a longer prefix never falls through to a shorter one.

With the earlier look-up, TestRouteFor finds write for GET /orders/7 instead of read.

--- a/internal/fgentry/caller.go
+++ b/internal/fgentry/caller.go
@@ -109,7 +109,7 @@
 }
 
 func (c *call) matchRoute(r *http.Request) error {
-	c.route = c.snapshot.Route(r.URL.Path)
+	c.route = c.snapshot.RouteFor(r.URL.Path, r.Method)
 	if c.route == nil {
 		return fgproblem.New(http.StatusNotFound, fgproblem.CodeNoRoute, "no route matches the path")
 	}
