--- a/internal/fgcommand/operator.go
+++ b/internal/fgcommand/operator.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -199,7 +200,7 @@
 		rows := table{{"VM", "REGION", "AVAILABILITY ZONE", "CALLERS", "LEAVING", "GENERATION"}}
 		for _, m := range status.Members {
 			generation := fmt.Sprint(status.Generation)
-			if status.Status != nil && contains(status.Status.Missing, m.VM) {
+			if status.Status != nil && slices.Contains(status.Status.Missing, m.VM) {
 				generation = "older"
 			}
 			rows = append(rows, []string{m.VM, m.Region, m.AvailabilityZone, m.CallerAddress, fmt.Sprint(m.Leaving), generation})
--- a/internal/fgcommand/resources.go
+++ b/internal/fgcommand/resources.go
@@ -17,8 +17,6 @@
 	"github.com/filbertgap/filbertgap/pkg/fgclient"
 )
 
-func contains(list []string, item string) bool { return slices.Contains(list, item) }
-
 func newApply() *cobra.Command {
 	var files []string
 	var change changeFlags
@@ -117,7 +115,7 @@
 	}
 	var out []string
 	for _, e := range entries {
-		if ext := filepath.Ext(e.Name()); !e.IsDir() && contains([]string{".yaml", ".yml", ".json"}, ext) {
+		if ext := filepath.Ext(e.Name()); !e.IsDir() && slices.Contains([]string{".yaml", ".yml", ".json"}, ext) {
 			out = append(out, filepath.Join(name, e.Name()))
 		}
 	}
