--- a/internal/fgentry/body.go
+++ b/internal/fgentry/body.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/filbertgap/filbertgap/internal/protocol/fgkey"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
 )
 
@@ -100,6 +101,9 @@
 	if c.once && !c.body.whole {
 		return bodyTooLong()
 	}
+	if err := fgkey.CheckBody(head); err != nil {
+		return err
+	}
 	if c.body.whole {
 		c.body.length = int64(len(head))
 	}
--- a/internal/fgentry/caller.go
+++ b/internal/fgentry/caller.go
@@ -30,6 +30,8 @@
 	maxIdempotencyKey = 255
 	// writeGrace is added to the deadline for the last part of an answer.
 	writeGrace = time.Second
+	// maxRequestIDBytes bounds a caller's request id, which log lines repeat.
+	maxRequestIDBytes = 128
 )
 
 func (e *Entry) callerHandler() http.Handler {
@@ -70,11 +72,14 @@
 	body        *requestBody
 	bodyDigest  [sha256.Size]byte
 	fingerprint fgsuspect.Fingerprint
+	// refusal and ended tell the metrics how the call ended.
+	refusal *fgproblem.Problem
+	ended   bool
 }
 
 func (e *Entry) newCall(w http.ResponseWriter, r *http.Request) *call {
 	c := &call{id: r.Header.Get(headerRequestID), snapshot: e.config.State()}
-	if c.id == "" {
+	if c.id == "" || len(c.id) > maxRequestIDBytes || fgkey.Contains(c.id) {
 		c.id = fgrequest.NewTraceID()
 	}
 	w.Header().Set(headerRequestID, c.id)
@@ -83,6 +88,8 @@
 
 func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
 	c := e.newCall(w, r)
+	measured := e.metrics.Begin()
+	defer func() { c.observe(measured) }()
 	e.finish(w, r, c, e.serve(w, r, c))
 }
 
@@ -96,6 +103,7 @@
 	default:
 		e.refuse(w, r, c, e.truthful(c, err))
 	}
+	c.ended = true
 }
 
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, c *call) error {
@@ -103,14 +111,17 @@
 	if len(keys) > 0 {
 		c.idempotencyKey = keys[0]
 	}
+	if err := fgkey.CheckURL(r); err != nil {
+		return err
+	}
 	if err := c.matchRoute(r); err != nil {
 		return err
 	}
 	if err := c.authenticate(r); err != nil {
 		return err
 	}
-	if len(keys) > 1 || len(c.idempotencyKey) > maxIdempotencyKey {
-		return fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "send one Idempotency-Key of at most 255 bytes")
+	if len(keys) > 1 || len(c.idempotencyKey) > maxIdempotencyKey || fgkey.Contains(c.idempotencyKey) {
+		return fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "send one Idempotency-Key of at most 255 bytes, which holds no key of this system")
 	}
 	return e.serveIdentified(w, r, c)
 }
@@ -189,7 +200,7 @@
 }
 
 func (c *call) matchRoute(r *http.Request) error {
-	c.route = c.snapshot.Route(r.URL.Path)
+	c.route = c.snapshot.RouteFor(r.URL.Path, r.Method)
 	if c.route == nil {
 		return fgproblem.New(http.StatusNotFound, fgproblem.CodeNoRoute, "no route matches the path")
 	}
@@ -236,6 +247,7 @@
 		e.logger.Error(err, "request failed", "requestId", c.id)
 	}
 	e.logger.Info("request", "requestId", c.id, "workspace", c.workspace, "vm", e.settings.raw.VM, "upstream", "", "outcome", p.Outcome(), "reason", p.Code())
+	c.refusal = p
 	if r.ContentLength != 0 && (c.body == nil || !c.body.whole) {
 		// The rest of the body must not be read as the next request.
 		w.Header().Set("Connection", "close")
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgsync"
+	"github.com/filbertgap/filbertgap/internal/fgmetrics"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
@@ -46,6 +47,7 @@
 	reports     fgmember.Reports
 	dialer      *fgpeer.Dialer
 	upstreams   *fgupstream.Client
+	metrics     *fgmetrics.Metrics
 	requests
 	listeners listeners
 }
@@ -70,6 +72,7 @@
 		dialer:    dialer,
 		requests:  requests{store: store, peers: newPeerClient(dialer)},
 		upstreams: fgupstream.New(fgupstream.Options{}),
+		metrics:   fgmetrics.New(),
 	}
 }
 
@@ -93,6 +96,7 @@
 		}
 		*p.listener = l
 	}
+	e.secureListeners()
 	return nil
 }
 
--- a/internal/fgentry/operator.go
+++ b/internal/fgentry/operator.go
@@ -1,14 +1,18 @@
 package fgentry
 
 import (
+	"context"
+	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
@@ -45,11 +49,42 @@
 	})
 }
 
-// ChangeRequest asks for a change of the configuration, all of it or nothing.
-type ChangeRequest struct {
+// changeRequest asks for a change of the configuration, all of it or nothing.
+type changeRequest struct {
 	// ChangeID is chosen by the client. A repeat with the same id is not applied twice.
-	ChangeID string `json:"changeId"`
-	fgconfig.Change
+	ChangeID string          `json:"changeId"`
+	Put      json.RawMessage `json:"put"`
+	Delete   []fgapi.Ref     `json:"delete"`
+}
+
+// maxChangeIDBytes bounds a change id, of which the journal keeps the recent ones.
+const maxChangeIDBytes = 64
+
+// readChange decodes a change strictly: unknown fields are refused.
+func readChange(w http.ResponseWriter, r *http.Request) (string, fgconfig.Change, error) {
+	var in changeRequest
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+	d.DisallowUnknownFields()
+	err := d.Decode(&in)
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		return "", fgconfig.Change{}, fmt.Errorf("the change has more than %d bytes; split it", maxChangeBytes)
+	}
+	if err != nil {
+		return "", fgconfig.Change{}, fmt.Errorf("the change cannot be read: %w", err)
+	}
+	if in.ChangeID == "" || len(in.ChangeID) > maxChangeIDBytes {
+		return "", fgconfig.Change{}, fmt.Errorf("changeId has %d bytes; accepted are 1 to %d", len(in.ChangeID), maxChangeIDBytes)
+	}
+	c := fgconfig.Change{Delete: in.Delete}
+	if len(in.Put) > 0 {
+		if c.Put, err = fgapi.Decode("put", in.Put); err != nil {
+			return "", fgconfig.Change{}, err
+		}
+	}
+	if len(c.Put)+len(c.Delete) == 0 {
+		return "", fgconfig.Change{}, errors.New("the change is empty; accepted is at least one resource in put or delete")
+	}
+	return in.ChangeID, c, nil
 }
 
 // ChangeAnswer tells the generation that a change received.
@@ -58,26 +93,26 @@
 }
 
 func (e *Entry) handleChange(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var in ChangeRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes)).Decode(&in); err != nil {
-		fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, err.Error()).Write(w, "")
+	changeID, change, err := readChange(w, r)
+	if errors.Is(err, fgapi.ErrInvalid) {
+		changeProblem(err).Write(w, "")
 		return
 	}
-	if in.ChangeID == "" {
-		fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "changeId is empty").Write(w, "")
+	if err != nil {
+		fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, err.Error()).Write(w, "")
 		return
 	}
-	generation, err := e.config.Submit(r.Context(), in.ChangeID, func(s *fgconfig.Snapshot) (json.RawMessage, error) {
-		if err := s.Check(in.Change); err != nil {
+	generation, err := e.config.Submit(r.Context(), changeID, func(s *fgconfig.Snapshot) (json.RawMessage, error) {
+		if err := s.Check(change); err != nil {
 			return nil, err
 		}
-		return json.Marshal(in.Change)
+		return json.Marshal(change)
 	})
 	if err != nil {
 		changeProblem(err).Write(w, "")
 		return
 	}
-	e.logger.Info("configuration changed", "generation", generation, "change", in.ChangeID)
+	e.logger.Info("configuration changed", "generation", generation, "change", changeID)
 	writeJSON(w, ChangeAnswer{Generation: generation})
 }
 
@@ -97,27 +132,86 @@
 	}
 }
 
+// maxWatchWait bounds how long a watch is held without a change.
+const maxWatchWait = 30 * time.Second
+
+// reportInterval separates the looks at the other VMs' reports during a watch.
+const reportInterval = 50 * time.Millisecond
+
+// handleResources answers with resources and their status. With wait, it holds
+// the answer until its ETag differs from If-None-Match, or answers 304.
 func (e *Entry) handleResources(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	s := e.config.State()
-	resources := s.All()
-	if text := r.URL.Query().Get("kind"); text != "" {
-		k, ok := fgapi.ParseKind(text)
-		if !ok {
+	q := r.URL.Query()
+	var kind fgapi.Kind
+	if text := q.Get("kind"); text != "" {
+		var ok bool
+		if kind, ok = fgapi.ParseKind(text); !ok {
 			fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "kind "+text+" is unknown").Write(w, "")
 			return
 		}
-		resources = s.Resources(k)
 	}
-	name := r.URL.Query().Get("name")
+	var wait time.Duration
+	if text := q.Get("wait"); text != "" {
+		var err error
+		if wait, err = time.ParseDuration(text); err != nil || wait < 0 || wait > maxWatchWait {
+			fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "wait is "+text+"; accepted is a duration up to "+maxWatchWait.String()).Write(w, "")
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	body, tag := e.watchResources(ctx, kind, q.Get("name"), r.Header.Get("If-None-Match"))
+	w.Header().Set("ETag", tag)
+	if tag == r.Header.Get("If-None-Match") {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+// watchResources returns the resources as JSON with a tag of that text, once the
+// tag differs from the one seen or the context ends.
+func (e *Entry) watchResources(ctx context.Context, kind fgapi.Kind, name, seen string) ([]byte, string) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		changed := e.config.Changed()
+		body, err := json.Marshal(e.resources(kind, name))
+		if err != nil {
+			e.logger.Error(err, "encode resources")
+		}
+		sum := sha256.Sum256(body)
+		tag := `"` + hex.EncodeToString(sum[:8]) + `"`
+		if tag != seen || ctx.Err() != nil {
+			return body, tag
+		}
+		select {
+		case <-ctx.Done():
+			return body, tag
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// resources returns the resources of a kind and name with their status. Empty
+// means all.
+func (e *Entry) resources(kind fgapi.Kind, name string) []fgapi.Resource {
+	s := e.config.State()
+	found := s.All()
+	if kind != "" {
+		found = s.Resources(kind)
+	}
 	out := []fgapi.Resource{}
-	for _, res := range resources {
+	for _, res := range found {
 		if name != "" && res.Metadata.Name != name {
 			continue
 		}
 		res.Status = e.statusAt(res.Metadata.ResourceVersion)
 		out = append(out, res)
 	}
-	writeJSON(w, out)
+	return out
 }
 
 // statusAt counts the members that apply a generation.
@@ -143,19 +237,30 @@
 	Members    []fgmember.Member `json:"members"`
 }
 
-func (e *Entry) handleStatus(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+func (e *Entry) handleStatus(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	generation := e.config.Generation()
+	if text := r.URL.Query().Get("generation"); text != "" {
+		var err error
+		if generation, err = strconv.ParseUint(text, 10, 64); err != nil {
+			fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "generation is not a number").Write(w, "")
+			return
+		}
+	}
 	writeJSON(w, FleetStatus{
 		VM:         e.settings.raw.VM,
-		Generation: generation,
+		Generation: e.config.Generation(),
 		Status:     e.statusAt(generation),
 		Members:    e.members.State().All(),
 	})
 }
 
 func (e *Entry) metricsHandler() http.Handler {
+	metrics := e.metrics.Handler()
 	r := httprouter.New()
-	r.Handler(http.MethodGet, "/metrics", promhttp.Handler())
+	r.GET("/metrics", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		e.metrics.SetGeneration(e.config.Generation())
+		metrics.ServeHTTP(w, r)
+	})
 	r.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { _, _ = w.Write([]byte("ok\n")) })
 	r.GET("/readyz", e.handleReady)
 	return r
--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/filbertgap/filbertgap/internal/protocol/fgkey"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
 	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
 	"github.com/filbertgap/filbertgap/internal/transport/fgupstream"
@@ -223,18 +224,17 @@
 // the caller's connection and without the caller's key.
 func (c *call) outgoing(r *http.Request) *http.Request {
 	out := r.Clone(c.sendContext)
-	removeHopByHop(out.Header)
-	out.Header.Del("Authorization")
+	out.Body, out.ContentLength = c.body.open(), c.body.length
+	if c.body.length == 0 {
+		out.Body = http.NoBody
+	}
+	fgkey.Scrub(out)
 	out.Header.Del(headerIdempotencyKey)
 	out.Header.Set(headerRequestID, c.id)
 	out.Header.Set(headerWorkspace, c.workspace)
 	if deadline, ok := c.sendContext.Deadline(); ok {
 		out.Header.Set(headerTimeout, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
 	}
-	out.Body, out.ContentLength = c.body.open(), c.body.length
-	if c.body.length == 0 {
-		out.Body = http.NoBody
-	}
 	out.TransferEncoding, out.Trailer, out.Close = nil, nil, false
 	return out
 }
@@ -277,7 +277,11 @@
 // unanswered returns the refusal of a request that no answer came for.
 func (e *Entry) unanswered(c *call, o fgupstream.Outcome, cause error) (result, error) {
 	ended := c.sendContext.Err() != nil
+	var p *fgproblem.Problem
 	switch {
+	case errors.As(cause, &p):
+		// The body was refused while it was sent.
+		return resultCancelled, p
 	case o == fgupstream.Refused:
 		return resultShed, noCapacity("the upstream refused the request")
 	case o == fgupstream.Unreached && ended:
