Place requests by local permits, peers' reports and caps

Cause: a request went to the first upstream of the group, whatever its load.

internal/coordination/fgplacement chooses an upstream by two random choices of use and measured latency, then a peer of the region with reported capacity, then a peer of another region under the cap. Requests without capacity wait in a queue that is fair between workspaces. Each upstream has a slow start, an adaptive limit where no slots are declared, and rests after failures. Look-ups rank VMs by a weighted rendezvous hash of the caller's address.

Ruled out: waiting at the VM that receives a forwarded request. The bound of the wait would double, so that VM answers at once and the sender waits.

--- /dev/null
+++ b/internal/coordination/fgplacement/fleet_test.go
@@ -0,0 +1,252 @@
+package fgplacement
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
+	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/internal/state/fgjournal"
+	"github.com/filbertgap/filbertgap/pkg/fgapi"
+)
+
+const (
+	testGroup       = "orders"
+	exchangePeriod  = 500 * time.Millisecond
+	testPeerDelay   = 2 * time.Millisecond
+	testRegion      = "nairobi"
+	testOtherRegion = "kisumu"
+)
+
+// fleet is several placers with the upstreams behind them, in memory.
+type fleet struct {
+	t        testing.TB
+	nodes    []*node
+	snapshot *fgconfig.Snapshot
+	members  *fgmember.Set
+
+	mu      sync.Mutex
+	running map[string]int
+	most    map[string]int
+	served  map[string]int
+	service time.Duration
+}
+
+// node is one VM: it is the Permits and Caps of its placer.
+type node struct {
+	fleet  *fleet
+	member fgmember.Member
+	placer *Placer
+	dead   bool
+
+	mu     sync.Mutex
+	units  map[string]int64
+	used   map[string]int64
+	tokens float64
+	filled time.Time
+	rate   float64
+	// admitted counts what the cap let through.
+	admitted int
+}
+
+func newFleet(t testing.TB, vms int, region func(i int) string, resources ...fgapi.Resource) *fleet {
+	f := &fleet{t: t, running: map[string]int{}, most: map[string]int{}, served: map[string]int{}, service: 100 * time.Millisecond}
+	var list []fgmember.Member
+	for i := range vms {
+		list = append(list, fgmember.Member{
+			VM: fmt.Sprintf("vm-%d", i), Incarnation: fmt.Sprintf("i-%d", i),
+			Region: region(i), AvailabilityZone: region(i) + "-" + string(rune('a'+i%2)),
+		})
+	}
+	f.members = membersOf(t, list...)
+	f.snapshot = fgconfig.Empty()
+	for _, m := range list {
+		n := &node{fleet: f, member: m, units: map[string]int64{}, used: map[string]int64{}, filled: time.Now()}
+		n.placer = New(Options{VM: m.VM, Region: m.Region, Permits: n, Caps: n})
+		f.nodes = append(f.nodes, n)
+	}
+	f.apply(fgconfig.Change{Put: resources})
+	return f
+}
+
+func membersOf(t testing.TB, list ...fgmember.Member) *fgmember.Set {
+	payload, err := json.Marshal(fgmember.Change{Put: list})
+	if err != nil {
+		t.Fatal(err)
+	}
+	set, err := fgmember.Apply(fgmember.EmptySet(), fgjournal.Entry{Generation: 1, Payload: payload})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
+// apply changes the configuration at all nodes.
+func (f *fleet) apply(c fgconfig.Change) {
+	payload, err := json.Marshal(c)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.snapshot, err = fgconfig.Apply(f.snapshot, fgjournal.Entry{Generation: f.snapshot.Generation() + 1, Payload: payload})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.dealUnits()
+	for _, n := range f.nodes {
+		n.placer.Update(f.snapshot, f.members)
+	}
+}
+
+// dealUnits splits slots between the nodes of each upstream's region.
+func (f *fleet) dealUnits() {
+	next := 0
+	for _, u := range f.snapshot.Upstreams(testGroup) {
+		for _, n := range f.nodes {
+			delete(n.units, u.Name())
+		}
+		for dealt := int64(0); dealt < u.Spec().Slots; next++ {
+			if n := f.nodes[next%len(f.nodes)]; n.member.Region == u.Spec().Region {
+				n.units[u.Name()]++
+				dealt++
+			}
+		}
+	}
+}
+
+func (n *node) Units(u *fgconfig.Upstream) int64 { return n.units[u.Name()] }
+
+func (n *node) Acquire(u *fgconfig.Upstream) (func(), bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.used[u.Name()] >= n.units[u.Name()] {
+		return nil, false
+	}
+	n.used[u.Name()]++
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.used[u.Name()]--
+	}, true
+}
+
+// Admit is a token bucket of n.rate requests per second and a burst of one
+// tenth of it.
+func (n *node) Admit(context.Context, string, string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tokens = min(n.rate/10, n.tokens+n.rate*time.Since(n.filled).Seconds())
+	n.filled = time.Now()
+	if n.tokens < 1 {
+		return errors.New("the cap is spent")
+	}
+	n.tokens--
+	n.admitted++
+	return nil
+}
+
+// exchange sends each node's report to the others until the context ends.
+func (f *fleet) exchange(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, n := range f.nodes {
+			loads, leaving := n.placer.Report()
+			for _, to := range f.nodes {
+				if !n.dead && !to.dead {
+					to.placer.Hear(Report{VM: n.member.VM, Incarnation: n.member.Incarnation, Loads: loads, Leaving: leaving})
+				}
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(exchangePeriod):
+		}
+	}
+}
+
+// send runs one request from a node. It tries two more peers after refusals.
+func (f *fleet) send(ctx context.Context, n *node, r Request) error {
+	for range 3 {
+		t, err := n.placer.Place(ctx, r)
+		if err != nil {
+			return err
+		}
+		m, isPeer := t.Peer()
+		if !isPeer {
+			f.serve(t)
+			return nil
+		}
+		time.Sleep(testPeerDelay)
+		to := f.node(m.VM)
+		if !to.dead {
+			inner, err := to.placer.Place(ctx, Request{Group: r.Group, Workspace: r.Workspace, LocalOnly: true})
+			if err == nil {
+				f.serve(inner)
+				t.Done(Answered)
+				return nil
+			}
+		}
+		t.Done(Shed)
+		r.Exclude = map[string]bool{m.VM: true}
+	}
+	return ErrNoCapacity
+}
+
+func (f *fleet) node(vm string) *node {
+	for _, n := range f.nodes {
+		if n.member.VM == vm {
+			return n
+		}
+	}
+	return nil
+}
+
+// serve runs a request on its upstream.
+func (f *fleet) serve(t Target) {
+	name := t.Upstream().Name()
+	f.mu.Lock()
+	f.running[name]++
+	f.most[name] = max(f.most[name], f.running[name])
+	f.mu.Unlock()
+	time.Sleep(f.service)
+	f.mu.Lock()
+	f.running[name]--
+	f.served[name]++
+	f.mu.Unlock()
+	t.Done(Answered)
+}
+
+func (f *fleet) total() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, count := range f.served {
+		n += count
+	}
+	return n
+}
+
+func resource(kind fgapi.Kind, name string, spec fgapi.Spec) fgapi.Resource {
+	return fgapi.Resource{APIVersion: fgapi.Version, Kind: kind, Metadata: fgapi.Metadata{Name: name}, Spec: spec}
+}
+
+// upstreams declares upstreams of testGroup in a region.
+func upstreams(region string, count int, slots int64) (out []fgapi.Resource) {
+	for i := range count {
+		out = append(out, resource(fgapi.KindUpstream, fmt.Sprintf("%s-%d", region, i), &fgapi.UpstreamSpec{
+			Address: "127.0.0.1:80", Group: testGroup, Region: region, AvailabilityZone: region + "-a", Slots: slots,
+		}))
+	}
+	return out
+}
+
+func drain(kind fgapi.DrainTarget, target string) fgapi.Resource {
+	return resource(fgapi.KindDrain, "drain-"+target, &fgapi.DrainSpec{TargetKind: kind, Target: target})
+}
+
+func oneRegion(int) string { return testRegion }
+
+// warm ends the slow start of all upstreams.
+func warm() { time.Sleep(slowStartTime) }
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgplacement"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgsync"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
@@ -46,6 +47,7 @@
 	reports     fgmember.Reports
 	dialer      *fgpeer.Dialer
 	upstreams   *fgupstream.Client
+	placer      *fgplacement.Placer
 	listeners   listeners
 }
 
@@ -55,7 +57,7 @@
 
 // New returns an entry that uses a platform. Nothing runs before Run.
 func New(s Settings, store fgstore.Store, logger logr.Logger) *Entry {
-	return &Entry{
+	e := &Entry{
 		settings:    s,
 		logger:      logger,
 		incarnation: fgrequest.NewIncarnation(),
@@ -68,6 +70,8 @@
 		dialer:    fgpeer.NewDialer(s.fleetSecret),
 		upstreams: fgupstream.New(),
 	}
+	e.placer = newPlacer(e)
+	return e
 }
 
 // Listen opens the entry's ports.
--- a/internal/fgentry/lookup.go
+++ b/internal/fgentry/lookup.go
@@ -3,12 +3,13 @@
 import (
 	"encoding/json"
 	"net/http"
-	"slices"
+	"net/netip"
 	"strconv"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/filbertgap/filbertgap/internal/coordination/fgplacement"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
 )
 
@@ -31,12 +32,14 @@
 	LifetimeSeconds int        `json:"lifetimeSeconds"`
 }
 
-func (e *Entry) handleLookup(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+func (e *Entry) handleLookup(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	answer := LookupAnswer{LifetimeSeconds: int(lookupLifetime.Seconds())}
-	for _, m := range e.members.State().All() {
-		if m.Leaving || !e.reports.Alive(m.Incarnation) {
-			continue
-		}
+	members := e.placer.Lookup(fgplacement.Lookup{
+		Caller: callerAddress(r),
+		Region: r.URL.Query().Get("region"),
+		Alive:  e.reports.Alive,
+	})
+	for _, m := range members {
 		answer.VMs = append(answer.VMs, LookupVM{
 			VM:               m.VM,
 			Address:          m.CallerAddress,
@@ -45,21 +48,18 @@
 			IDPrefix:         idPrefix(m.Incarnation, time.Now()),
 		})
 	}
-	slices.SortStableFunc(answer.VMs, func(a, b LookupVM) int { return e.distance(a) - e.distance(b) })
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Cache-Control", "max-age="+strconv.Itoa(answer.LifetimeSeconds))
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
-func (e *Entry) distance(v LookupVM) int {
-	switch {
-	case v.VM == e.settings.raw.VM:
-		return 0
-	case v.Region == e.settings.raw.Region:
-		return 1
-	default:
-		return 2
+// callerAddress returns the address of a request's connection.
+func callerAddress(r *http.Request) netip.Addr {
+	a, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return netip.Addr{}
 	}
+	return a.Addr()
 }
 
 // idPrefix returns the prefix of ids that a process may run now.
