Test placement: slots, caps, slow start, fairness, drains, queue, look-ups

Cause: the mechanisms of the placer had one test.

Faults that the new tests found, each now guarded by the test that found it: - The baseline of the adaptive limit followed every slower sample by 0.001, so the limit of an upstream that slows down above 10 requests grew to 47. Judging the pressure by the requests in flight at the end of a request failed the same way (47), because the last of a batch ends at a low number. Slower samples now count only while the most requests in flight of the last one or two seconds were under half of the limit, or the limit is at most 2.

--- a/internal/coordination/fgplacement/fleet_test.go
+++ b/internal/coordination/fgplacement/fleet_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 	fleet  *fleet
 	member fgmember.Member
 	placer *Placer
-	dead   bool
+	dead   atomic.Bool
 
 	mu     sync.Mutex
 	units  map[string]int64
@@ -55,6 +56,11 @@
 }
 
 func newFleet(t testing.TB, vms int, region func(i int) string, resources ...fgapi.Resource) *fleet {
+	return newFleetOf(t, vms, vms, region, resources...)
+}
+
+// newFleetOf returns a fleet in which only the first members have placers.
+func newFleetOf(t testing.TB, placers, vms int, region func(i int) string, resources ...fgapi.Resource) *fleet {
 	f := &fleet{t: t, running: map[string]int{}, most: map[string]int{}, served: map[string]int{}, service: 100 * time.Millisecond}
 	var list []fgmember.Member
 	for i := range vms {
@@ -65,7 +71,7 @@
 	}
 	f.members = membersOf(t, list...)
 	f.snapshot = fgconfig.Empty()
-	for _, m := range list {
+	for _, m := range list[:placers] {
 		n := &node{fleet: f, member: m, units: map[string]int64{}, used: map[string]int64{}, filled: time.Now()}
 		n.placer = New(Options{VM: m.VM, Region: m.Region, Permits: n, Caps: n})
 		f.nodes = append(f.nodes, n)
@@ -109,12 +115,16 @@
 		for _, n := range f.nodes {
 			delete(n.units, u.Name())
 		}
-		for dealt := int64(0); dealt < u.Spec().Slots; next++ {
-			if n := f.nodes[next%len(f.nodes)]; n.member.Region == u.Spec().Region {
-				n.units[u.Name()]++
-				dealt++
+		var owners []*node
+		for _, n := range f.nodes {
+			if n.member.Region == u.Spec().Region {
+				owners = append(owners, n)
 			}
 		}
+		for dealt := int64(0); dealt < u.Spec().Slots && len(owners) > 0; dealt++ {
+			owners[next%len(owners)].units[u.Name()]++
+			next++
+		}
 	}
 }
 
@@ -155,7 +165,7 @@
 		for _, n := range f.nodes {
 			loads, leaving := n.placer.Report()
 			for _, to := range f.nodes {
-				if !n.dead && !to.dead {
+				if !n.dead.Load() && !to.dead.Load() {
 					to.placer.Hear(Report{VM: n.member.VM, Incarnation: n.member.Incarnation, Loads: loads, Leaving: leaving})
 				}
 			}
@@ -181,7 +191,7 @@
 		}
 		time.Sleep(testPeerDelay)
 		to := f.node(m.VM)
-		if !to.dead {
+		if !to.dead.Load() {
 			inner, err := to.placer.Place(ctx, Request{Group: r.Group, Workspace: r.Workspace, LocalOnly: true})
 			if err == nil {
 				f.serve(inner)
@@ -219,15 +229,6 @@
 	t.Done(Answered)
 }
 
-func (f *fleet) total() (n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, count := range f.served {
-		n += count
-	}
-	return n
-}
-
 func resource(kind fgapi.Kind, name string, spec fgapi.Spec) fgapi.Resource {
 	return fgapi.Resource{APIVersion: fgapi.Version, Kind: kind, Metadata: fgapi.Metadata{Name: name}, Spec: spec}
 }
@@ -248,5 +249,12 @@
 
 func oneRegion(int) string { return testRegion }
 
-// warm ends the slow start of all upstreams.
-func warm() { time.Sleep(slowStartTime) }
+// warm ends the slow start of all upstreams at all nodes.
+func (f *fleet) warm() {
+	time.Sleep(slowStartTime)
+	for _, n := range f.nodes {
+		for _, u := range n.placer.upstreams {
+			u.lastUsed.Store(int64(n.placer.now()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/fgplacement/placer_test.go
@@ -0,0 +1,376 @@
+package fgplacement
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/pkg/fgapi"
+)
+
+// fill places requests until none fits and returns the targets.
+func fill(t *testing.T, p *Placer) (out []Target) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for {
+		target, err := p.Place(ctx, Request{Group: testGroup})
+		if err != nil {
+			return out
+		}
+		out = append(out, target)
+	}
+}
+
+func finish(targets []Target, r Result) {
+	for _, t := range targets {
+		t.Done(r)
+	}
+}
+
+// Guards against a full load on a cold upstream: one that is new, one that
+// returns after failures, one whose drain ends, and one that was idle.
+func TestSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, oneRegion, upstreams(testRegion, 1, 100)...)
+		p := f.nodes[0].placer
+		rises := func(cause string) {
+			t.Helper()
+			var counts []int
+			for range 3 {
+				targets := fill(t, p)
+				counts = append(counts, len(targets))
+				finish(targets, Cancelled)
+				time.Sleep(slowStartTime / 2)
+			}
+			t.Logf("%s: %v requests at 0, 5 and 10 s", cause, counts)
+			if counts[0] > 10 || counts[1] < 40 || counts[1] > 60 || counts[2] != 100 {
+				t.Errorf("%s: limits are %v", cause, counts)
+			}
+		}
+		rises("new")
+		finish(fill(t, p)[:1], Unreached)
+		if n := len(fill(t, p)); n != 0 {
+			t.Errorf("%d requests sent to an upstream that refused a connection", n)
+		}
+		p.upstreams[testRegion+"-0"].inFlight.Store(0)
+		f.nodes[0].used = map[string]int64{}
+		time.Sleep(unreachedRestTime)
+		probes := fill(t, p)
+		if len(probes) != 1 {
+			t.Fatalf("%d probes at once", len(probes))
+		}
+		finish(probes, Answered)
+		rises("returned")
+		f.apply(fgconfig.Change{Put: []fgapi.Resource{drain(fgapi.DrainUpstream, testRegion+"-0")}})
+		if n := len(fill(t, p)); n != 0 {
+			t.Errorf("%d requests sent to a drained upstream", n)
+		}
+		f.apply(fgconfig.Change{Delete: []fgapi.Ref{{Kind: fgapi.KindDrain, Name: "drain-" + testRegion + "-0"}}})
+		rises("drain ended")
+		time.Sleep(2 * idleTime)
+		rises("idle")
+	})
+}
+
+// Guards against probes at a constant rate to an upstream that stays away.
+func TestRestGrows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, oneRegion, upstreams(testRegion, 1, 3)...)
+		probes := 0
+		for start := time.Now(); time.Since(start) < time.Minute; {
+			target, err := f.nodes[0].placer.Place(t.Context(), Request{Group: testGroup})
+			if err != nil {
+				continue
+			}
+			probes++
+			target.Done(Unreached)
+		}
+		t.Logf("%d attempts in a minute", probes)
+		if probes < 4 || probes > 10 {
+			t.Errorf("%d attempts in a minute", probes)
+		}
+	})
+}
+
+// Guards against a limit that ignores latency: an upstream that slows down as
+// its requests in flight pass 10 gets no more than about that, and one that
+// does not gets up to its part of the connections.
+func TestAdaptiveLimit(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		knee        int
+		least, most int
+	}{
+		{"slows down above 10", 10, 8, 16},
+		{"never slows down", 1 << 20, 47, 47},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 7, oneRegion, upstreams(testRegion, 1, 0)...)
+			var most int
+			for round := range 2000 {
+				targets := fill(t, f.nodes[0].placer)
+				if round >= 1500 {
+					most = max(most, len(targets))
+				}
+				latency := 50 * time.Millisecond
+				if n := len(targets); n > test.knee {
+					latency = latency * time.Duration(n) / time.Duration(test.knee) * 2
+				}
+				time.Sleep(latency)
+				finish(targets, Answered)
+			}
+			t.Logf("%s: at most %d in flight", test.name, most)
+			if most < test.least || most > test.most {
+				t.Errorf("%s: %d in flight, accepted is %d to %d", test.name, most, test.least, test.most)
+			}
+		})
+	}
+}
+
+// Guards against waits above the bounds, and against waiters that leave a
+// trace: half of the deadline, at most 500 ms, maxQueued in count, and a caller
+// that leaves.
+func TestQueueIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, oneRegion, upstreams(testRegion, 1, 1)...)
+		p := f.nodes[0].placer
+		held := fill(t, p)
+		for _, test := range []struct{ deadline, leaves, want time.Duration }{
+			{time.Hour, time.Hour, maxWait},
+			{300 * time.Millisecond, time.Hour, 150 * time.Millisecond},
+			{time.Hour, 20 * time.Millisecond, 20 * time.Millisecond},
+		} {
+			ctx, cancel := context.WithTimeout(t.Context(), test.deadline)
+			time.AfterFunc(test.leaves, cancel)
+			start := time.Now()
+			_, err := p.Place(ctx, Request{Group: testGroup})
+			if took := time.Since(start); took != test.want || err == nil {
+				t.Errorf("deadline %v, caller leaves after %v: %v after %v", test.deadline, test.leaves, err, took)
+			}
+			if n := p.Capacities()[0].Queued; n != 0 {
+				t.Errorf("%d requests still queued", n)
+			}
+			cancel()
+		}
+		refused := make(chan time.Duration, maxQueued+10)
+		for range maxQueued + 10 {
+			go func() {
+				start := time.Now()
+				if _, err := p.Place(t.Context(), Request{Group: testGroup}); errors.Is(err, ErrNoCapacity) {
+					refused <- time.Since(start)
+				}
+			}()
+		}
+		synctest.Wait()
+		if n := p.Capacities()[0].Queued; n != maxQueued || len(refused) != 10 {
+			t.Errorf("%d queued and %d refused at once", n, len(refused))
+		}
+		// A workspace with one request pushes out one of the workspace with many.
+		small := make(chan error, 1)
+		go func() {
+			_, err := p.Place(t.Context(), Request{Group: testGroup, Workspace: "small"})
+			small <- err
+		}()
+		synctest.Wait()
+		if len(refused) != 11 || len(small) != 0 {
+			t.Errorf("a full queue refused %d of the long flow and %d of the short one", len(refused), len(small))
+		}
+		start := time.Now()
+		finish(held, Answered)
+		synctest.Wait()
+		if n := p.Capacities()[0].Queued; n != maxQueued-1 || time.Since(start) != 0 {
+			t.Errorf("%d queued after a permit was returned", n)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against new requests to a leaving upstream at any VM while the
+// platform is down: a VM that saw its draining answer tells the others.
+func TestLeavingUpstreamIsToldToPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, oneRegion, upstreams(testRegion, 2, 21)...)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.exchange(ctx)
+		f.warm()
+		users := func(name string) (n int) {
+			for _, to := range f.nodes[1:] {
+				targets := fill(t, to.placer)
+				if slices.ContainsFunc(targets, func(t Target) bool { return t.Upstream() != nil && t.Upstream().Name() == name }) {
+					n++
+				}
+				finish(targets, Cancelled)
+			}
+			return n
+		}
+		refuse := func(r Result, exclude string) string {
+			target, err := f.nodes[0].placer.Place(ctx, Request{Group: testGroup, Exclude: map[string]bool{exclude: true}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			target.Done(r)
+			time.Sleep(exchangePeriod + shedRestTime)
+			return target.Upstream().Name()
+		}
+		first := refuse(Shed, "")
+		if n := users(first); n != 6 {
+			t.Errorf("after one refusal, which a full upstream gives as well, %d of 6 VMs use it", n)
+		}
+		second := refuse(Draining, first)
+		if n := users(second); n != 0 {
+			t.Errorf("%d VMs send to an upstream that is draining", n)
+		}
+		refuse(Shed, second)
+		if n := users(first); n != 0 {
+			t.Errorf("%d VMs send to an upstream that refused twice in a row", n)
+		}
+	})
+}
+
+// Guards against a drained or leaving VM that still gets forwarded requests or
+// appears in look-ups.
+func TestDrainedVMsGetNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, oneRegion, upstreams(testRegion, 3, 3)...)
+		leaving := f.nodes[1].member
+		leaving.Leaving = true
+		f.members = membersOf(t, f.nodes[0].member, leaving, f.nodes[2].member)
+		f.apply(fgconfig.Change{Put: []fgapi.Resource{drain(fgapi.DrainVM, "vm-2")}})
+		p := f.nodes[0].placer
+		for _, n := range f.nodes[1:] {
+			p.Hear(Report{VM: n.member.VM, Incarnation: n.member.Incarnation, Loads: []Load{{Group: testGroup, Free: 3}}})
+		}
+		for _, target := range fill(t, p) {
+			if m, ok := target.Peer(); ok {
+				t.Errorf("a request goes to %s", m.VM)
+			}
+		}
+		list := p.Lookup(Lookup{Alive: func(string) bool { return true }})
+		if len(list) != 1 || list[0].VM != "vm-0" {
+			t.Errorf("the look-up names %v", list)
+		}
+	})
+}
+
+// Guards against requests to peers whose last report is too old.
+func TestOldReportsDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, oneRegion, upstreams(testRegion, 1, 1)...)
+		n := f.nodes[1]
+		for _, test := range []struct {
+			age  time.Duration
+			want int
+		}{{0, 1}, {reportLifetime, 1}, {reportLifetime + time.Millisecond, 0}} {
+			n.placer.Hear(Report{VM: "vm-0", Incarnation: "i-0", Loads: []Load{{Group: testGroup, Free: 1}}})
+			time.Sleep(test.age)
+			targets := fill(t, n.placer)
+			if len(targets) != test.want {
+				t.Errorf("%d requests sent on a report of age %v", len(targets), test.age)
+			}
+			finish(targets, Cancelled)
+		}
+	})
+}
+
+// Guards against a suspect that shares an upstream with other requests, also
+// when all upstreams are busy as it arrives.
+func TestAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, oneRegion, upstreams(testRegion, 2, 3)...)
+		f.warm()
+		p := f.nodes[0].placer
+		for _, target := range fill(t, p) {
+			time.AfterFunc(50*time.Millisecond, func() { target.Done(Answered) })
+		}
+		others := make(chan Target, 100)
+		for range 20 {
+			go func() {
+				target, err := p.Place(t.Context(), Request{Group: testGroup, Workspace: "w"})
+				if err == nil {
+					others <- target
+				}
+			}()
+		}
+		start := time.Now()
+		suspect, err := p.Place(t.Context(), Request{Group: testGroup, Workspace: "w", Alone: true})
+		if err != nil {
+			t.Fatalf("the suspect found no idle upstream: %v", err)
+		}
+		if time.Since(start) < 50*time.Millisecond {
+			t.Error("the suspect runs beside earlier requests")
+		}
+		synctest.Wait()
+		for n := len(others); n > 0; n-- {
+			if target := <-others; target.Upstream() == suspect.Upstream() {
+				t.Error("another request runs beside the suspect")
+			}
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against retries that multiply the load: 10% of recent requests, with
+// a minimum for a quiet VM, and none saved up from earlier.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFleet(t, 1, oneRegion).nodes[0].placer
+		retries := func() (n int) {
+			for p.AllowRetry() {
+				n++
+			}
+			return n
+		}
+		for _, test := range []struct {
+			requests, want int
+		}{{0, retryMinimum}, {200, 20}, {0, retryMinimum}} {
+			for range test.requests {
+				_, _ = p.Place(t.Context(), Request{Group: "none"})
+			}
+			if n := retries(); n != test.want {
+				t.Errorf("%d retries after %d requests, want %d", n, test.requests, test.want)
+			}
+			time.Sleep((budgetSeconds + 1) * time.Second)
+		}
+	})
+}
+
+// Guards against look-ups that put all callers on one VM, differ between VMs,
+// put neighbours in one availability zone or ignore the caller's region.
+func TestLookup(t *testing.T) {
+	regions := func(i int) string { return []string{testRegion, testOtherRegion}[i/4] }
+	f := newFleet(t, 7, regions,
+		resource(fgapi.KindRegion, testRegion, &fgapi.RegionSpec{AvailabilityZones: []string{"a"}}),
+		resource(fgapi.KindRegion, testOtherRegion, &fgapi.RegionSpec{AvailabilityZones: []string{"a"}, ClientBlocks: []string{"10.9.0.0/16"}}))
+	alive := func(string) bool { return true }
+	firsts := map[string]int{}
+	for i := range 1000 {
+		l := Lookup{Caller: netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), Region: testRegion, Alive: alive}
+		list := f.nodes[0].placer.Lookup(l)
+		if len(list) != 7 || list[0].Region != testRegion || list[1].AvailabilityZone == list[0].AvailabilityZone {
+			t.Fatalf("the look-up names %v", list)
+		}
+		if other := f.nodes[6].placer.Lookup(l); other[0] != list[0] {
+			t.Fatalf("two VMs name %v and %v first", list[0], other[0])
+		}
+		firsts[list[0].VM]++
+	}
+	t.Logf("1,000 callers by their first VM: %v", firsts)
+	for vm, n := range firsts {
+		if len(firsts) != 4 || n < 200 || n > 300 {
+			t.Errorf("%s is the first VM of %d of 1,000 callers", vm, n)
+		}
+	}
+	for caller, want := range map[string]string{"10.9.3.4": testOtherRegion, "192.0.2.1": testRegion} {
+		list := f.nodes[0].placer.Lookup(Lookup{Caller: netip.MustParseAddr(caller), Alive: alive})
+		if list[0].Region != want {
+			t.Errorf("caller %s is sent to %s", caller, list[0].Region)
+		}
+	}
+}
--- a/internal/coordination/fgplacement/queue.go
+++ b/internal/coordination/fgplacement/queue.go
@@ -217,18 +217,26 @@
 	g.queued.Store(int64(g.queue.length))
 }
 
+// dispatchOne places the fairest request that can be placed. When an ordinary
+// one cannot, no other ordinary one can; one that waits for a cleared upstream
+// may still.
 func (p *Placer) dispatchOne(v *view, gv *groupView, now instant) bool {
-	q := &gv.state.queue
-	for _, f := range q.order() {
+	g := gv.state
+	full := false
+	for _, f := range g.queue.order() {
 		for _, w := range f.waiters {
+			if full && !w.request.Alone {
+				continue
+			}
 			t, ok := p.choose(v, gv, &w.request, now)
 			if ok {
-				q.served(f)
-				q.remove(w)
+				g.queue.served(f)
+				g.queue.remove(w)
 				w.ready <- t
 				return true
 			}
-			if !w.special() {
+			full = full || !w.special()
+			if full && !g.clearing.Load() {
 				return false
 			}
 		}
--- a/internal/coordination/fgplacement/target.go
+++ b/internal/coordination/fgplacement/target.go
@@ -46,7 +46,7 @@
 	if t.upstream == nil {
 		return nil
 	}
-	return t.upstream.config
+	return t.upstream.config.Load()
 }
 
 // Peer returns the chosen peer when the target is not an upstream.
--- a/internal/coordination/fgplacement/upstream.go
+++ b/internal/coordination/fgplacement/upstream.go
@@ -36,9 +36,13 @@
 	overloadRatio = 2
 	// latencyGain weighs a sample in the moving latency average.
 	latencyGain = 0.1
-	// baselineRise weighs a slower sample in the baseline. It is small, so that
-	// a lasting overload does not become the norm.
-	baselineRise = 0.001
+	// baselineRise weighs a slower sample in the baseline.
+	baselineRise = 0.01
+	// peakInterval is the time over which the most requests in flight tell
+	// whether the limit is pressed. Latency lags the requests that caused it.
+	peakInterval = time.Second
+	// smallLimit is a limit at which latency is taken for the upstream's own.
+	smallLimit = 2
 
 	// Rest times of an upstream after the first failure of each kind. They
 	// double with each further failure, up to maxRestTime.
@@ -61,7 +65,7 @@
 
 // upstream is the state of one upstream as this VM sees it. It outlives views.
 type upstream struct {
-	config *fgconfig.Upstream
+	config atomic.Pointer[fgconfig.Upstream]
 	group  *group
 
 	inFlight atomic.Int64
@@ -85,7 +89,12 @@
 	// drained is guarded by the placer's lock.
 	drained bool
 
+	// peak is the most requests in flight since peakAt.
+	peak atomic.Int64
+
 	mu          sync.Mutex
+	peakAt      instant
+	lastPeak    int64
 	baseline    float64
 	decreasedAt instant
 	sheds       int
@@ -93,16 +102,22 @@
 }
 
 func newUpstream(c *fgconfig.Upstream, g *group, now instant) *upstream {
-	u := &upstream{config: c, group: g}
+	u := &upstream{group: g}
+	u.config.Store(c)
 	u.coldSince.Store(int64(now))
-	u.lastUsed.Store(int64(now))
 	u.limit.Store(math.Float64bits(initialLimit))
 	return u
 }
 
-func (u *upstream) name() string { return u.config.Name() }
+func (u *upstream) name() string { return u.config.Load().Name() }
+
+func (u *upstream) hasSlots() bool { return u.config.Load().Spec().Slots > 0 }
 
-func (u *upstream) hasSlots() bool { return u.config.Spec().Slots > 0 }
+// is reports whether a declaration means the same server for the same work.
+func (u *upstream) is(c *fgconfig.Upstream) bool {
+	old, next := u.config.Load().Spec(), c.Spec()
+	return old.Address == next.Address && old.Region == next.Region && old.Group == next.Group
+}
 
 // limitAt returns how many requests this VM may have in flight.
 func (u *upstream) limitAt(now instant) int64 {
@@ -144,12 +159,15 @@
 		}
 		if u.inFlight.CompareAndSwap(n, n+1) {
 			u.markUsed(now, n)
+			if n >= u.peak.Load() {
+				u.peak.Store(n + 1)
+			}
 			return true
 		}
 	}
 }
 
-// markUsed begins a slow start when the upstream has been idle.
+// markUsed begins a slow start when the upstream is new or has been idle.
 func (u *upstream) markUsed(now instant, inFlight int64) {
 	last := u.lastUsed.Load()
 	if inFlight == 0 && int64(now)-last > int64(idleTime) {
@@ -243,26 +261,39 @@
 		average, u.baseline = sample, sample
 	}
 	average += latencyGain * (sample - average)
-	gain := baselineRise
-	if sample < u.baseline {
-		gain = latencyGain
-	}
-	u.baseline += gain * (sample - u.baseline)
 	u.latency.Store(math.Float64bits(average))
-	if average > overloadRatio*u.baseline {
+	limit := math.Float64frombits(u.limit.Load())
+	pressed := 2*float64(u.recentPeak(now)) >= limit
+	u.moveBaseline(sample, pressed && limit > smallLimit)
+	switch {
+	case average > overloadRatio*u.baseline:
 		u.decrease(now)
-		return
+	case pressed:
+		// Adds about one per round trip.
+		u.limit.Store(math.Float64bits(min(limit+1/limit, max(1, float64(u.most.Load())))))
 	}
-	u.increase()
 }
 
-// increase adds about one per round trip while at least half is in use.
-func (u *upstream) increase() {
-	limit := math.Float64frombits(u.limit.Load())
-	if 2*float64(u.inFlight.Load()+1) < limit {
-		return
+// recentPeak returns the most requests in flight in the last one or two peak
+// intervals.
+func (u *upstream) recentPeak(now instant) int64 {
+	if now >= u.peakAt.add(peakInterval) {
+		u.peakAt = now
+		u.lastPeak = u.peak.Swap(u.inFlight.Load())
+	}
+	return max(u.lastPeak, u.peak.Load())
+}
+
+// moveBaseline follows faster samples at once. Slower ones count only while
+// the limit is not pressed: under pressure they may come from the pressure, and
+// a baseline that followed them would let the limit and the latency drift up.
+func (u *upstream) moveBaseline(sample float64, pressed bool) {
+	switch {
+	case sample < u.baseline:
+		u.baseline += latencyGain * (sample - u.baseline)
+	case !pressed:
+		u.baseline += baselineRise * (sample - u.baseline)
 	}
-	u.limit.Store(math.Float64bits(min(limit+1/limit, max(1, float64(u.most.Load())))))
 }
 
 func (u *upstream) decrease(now instant) {
@@ -326,7 +357,7 @@
 	if !u.hasSlots() {
 		return t, true
 	}
-	release, ok := p.options.Permits.Acquire(u.config)
+	release, ok := p.options.Permits.Acquire(u.config.Load())
 	if !ok {
 		u.inFlight.Add(-t.weight)
 		return Target{}, false
--- a/internal/coordination/fgplacement/view.go
+++ b/internal/coordination/fgplacement/view.go
@@ -185,9 +185,10 @@
 	}
 	g := v.groups[c.Spec().Group]
 	u := p.upstreams[c.Name()]
-	if u == nil || *u.config.Spec() != *c.Spec() {
+	if u == nil || !u.is(c) {
 		u = newUpstream(c, g.state, p.now())
 	}
+	u.config.Store(c)
 	known[c.Name()] = u
 	drained := v.drains.coversUpstream(c)
 	if u.drained && !drained {
@@ -248,9 +249,9 @@
 // connections.
 func (p *Placer) partOf(v *view, u *upstream) int64 {
 	if u.hasSlots() {
-		return p.options.Permits.Units(u.config)
+		return p.options.Permits.Units(u.config.Load())
 	}
-	connections := u.config.Spec().Connections
+	connections := u.config.Load().Spec().Connections
 	if connections == 0 {
 		connections = defaultConnections
 	}
