Let a small workspace's requests move to a peer's queue

Cause: the queue of each VM is fair, but a workspace whose callers all use one VM shared only that VM's slots.

A request that has waited 250 ms moves to the queue of a peer when its workspace has at most half as many requests waiting here, for its weight, as another. A request placed by a peer now waits up to 100 ms in the fair queue instead of being refused at once. Ruled out: letting every request move after its wait, as the large workspace's excess would then cross between VMs.

--- a/internal/coordination/fgplacement/fleet_scenarios_test.go
+++ b/internal/coordination/fgplacement/fleet_scenarios_test.go
@@ -247,6 +247,36 @@
 // fairSeed seeds the random gaps between requests.
 const fairSeed = 1
 
+// Guards against a small workspace that gets only a part of the one VM that its
+// callers use, while a large one fills the queues of all 7.
+func TestFairWhereverCallersEnter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 7, oneRegion, upstreams(testRegion, 12, 3)...)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.exchange(ctx)
+		f.warm()
+		for _, entries := range [][]*node{f.nodes, f.nodes[:1]} {
+			large := make(chan int)
+			go func() { large <- f.offerAt(ctx, f.nodes, 1800, "large") }()
+			small := f.offerAt(ctx, entries, 40, "small")
+			t.Logf("seed %d: small at %d VMs %d of 400, large %d of 18,000", fairSeed, len(entries), small, <-large)
+			if small < 396 {
+				t.Errorf("the small workspace got %d of 400 requests at %d VMs", small, len(entries))
+			}
+		}
+	})
+}
+
+// offerAt offers requests of a workspace for 10 s at nodes in turn.
+func (f *fleet) offerAt(ctx context.Context, entries []*node, rate int, workspace string) int {
+	var next atomic.Int64
+	return offer(rate, 10*time.Second, func() bool {
+		n := entries[int(next.Add(1))%len(entries)]
+		return f.send(ctx, n, Request{Group: testGroup, Workspace: workspace}) == nil
+	})
+}
+
 // offer sends requests at a mean rate with random gaps and counts the served ones.
 func offer(rate int, span time.Duration, send func() bool) int {
 	var wg sync.WaitGroup
--- a/internal/coordination/fgplacement/peer.go
+++ b/internal/coordination/fgplacement/peer.go
@@ -81,10 +81,10 @@
 
 // record learns from the end of a request. A refusal or a failure means that
 // the report no longer holds; nothing is sent until the next one.
-func (l *peerLoad) record(r Result, generation int64) {
+func (l *peerLoad) record(r Result, generation, taken int64) {
 	switch r {
 	case Answered, Failed, Cancelled:
-		l.giveBack()
+		l.free.Add(taken)
 	case Shed, Draining, Unreached, Lost:
 		if l.generation.Load() == generation {
 			l.free.Store(0)
@@ -210,6 +210,22 @@
 	return nil
 }
 
+// anyPeer returns a random peer that was heard lately, whatever its capacity.
+func (p *Placer) anyPeer(list []*peerLoad, r *Request, now instant) *peerLoad {
+	if len(list) == 0 {
+		return nil
+	}
+	start := p.options.Random(len(list))
+	for i := range min(len(list), maxSampledPeers) {
+		l := list[(start+i)%len(list)]
+		age := time.Duration(int64(now) - l.heardAt.Load())
+		if age <= fgmember.AliveTimeout && !r.Exclude[l.owner.member.Load().VM] {
+			return l
+		}
+	}
+	return nil
+}
+
 // enter takes capacity of the peer and of the way to it.
 func (l *peerLoad) enter(now instant) *peerLoad {
 	if l.link != nil && !l.link.enter(now) {
--- a/internal/coordination/fgplacement/placer.go
+++ b/internal/coordination/fgplacement/placer.go
@@ -56,7 +56,8 @@
 type Request struct {
 	Group     string
 	Workspace string
-	// LocalOnly accepts only upstreams that this VM sends to, and does not wait.
+	// LocalOnly accepts only upstreams that this VM sends to, and waits only for
+	// a short time. It is for requests that a peer has placed here.
 	LocalOnly bool
 	// Alone asks for an upstream on which this VM has nothing else in flight.
 	Alone bool
@@ -122,7 +123,7 @@
 			return t, nil
 		}
 	}
-	if r.LocalOnly || !g.reachable() {
+	if !g.reachable() {
 		return Target{}, ErrNoCapacity
 	}
 	return p.wait(ctx, g.state, r)
@@ -138,13 +139,14 @@
 		return Target{}, false
 	}
 	peers := g.state.peers.Load()
-	if t := p.choosePeer(peers.near, r, now); t != nil {
-		return Target{placer: p, peer: t, generation: t.generation.Load(), started: now}, true
+	l := p.choosePeer(peers.near, r, now)
+	if l == nil {
+		l = p.choosePeer(peers.far, r, now)
 	}
-	if t := p.choosePeer(peers.far, r, now); t != nil {
-		return Target{placer: p, peer: t, generation: t.generation.Load(), started: now}, true
+	if l == nil {
+		return Target{}, false
 	}
-	return Target{}, false
+	return Target{placer: p, peer: l, generation: l.generation.Load(), started: now, weight: 1}, true
 }
 
 // admitCap spends the cap of a target in another region. When the cap refuses,
--- a/internal/coordination/fgplacement/queue.go
+++ b/internal/coordination/fgplacement/queue.go
@@ -12,6 +12,15 @@
 const (
 	// maxWait bounds how long a request waits for capacity.
 	maxWait = 500 * time.Millisecond
+	// maxHopWait bounds how long a request that a peer placed here waits. It is
+	// short, because the request may have waited there already.
+	maxHopWait = 100 * time.Millisecond
+	// moveAfter is when a request of a workspace that gets less than others here
+	// moves to the queue of a peer. It leaves time for the wait there.
+	moveAfter = maxWait / 2
+	// moveRatio is how many times longer the longest flow must be, for its
+	// weight, than the flow of a request that moves.
+	moveRatio = 2
 	// maxQueued bounds the requests that wait for one group.
 	maxQueued = 512
 )
@@ -25,7 +34,9 @@
 }
 
 // special reports whether others may be placed while this one cannot.
-func (w *waiter) special() bool { return w.request.Alone || len(w.request.Exclude) > 0 }
+func (w *waiter) special() bool {
+	return w.request.LocalOnly || w.request.Alone || len(w.request.Exclude) > 0
+}
 
 // flow is a workspace's part of a queue.
 type flow struct {
@@ -90,6 +101,18 @@
 	return dropped
 }
 
+// disadvantaged reports whether a flow is much shorter than the longest one.
+// Its workspace then asks for little and still waits.
+func (q *queue) disadvantaged(f *flow) bool {
+	own := float64(len(f.waiters)) / f.weight
+	for _, other := range q.flows {
+		if float64(len(other.waiters))/other.weight >= moveRatio*own {
+			return true
+		}
+	}
+	return false
+}
+
 // remove takes a waiter out. It reports false when it does not wait any more.
 func (q *queue) remove(w *waiter) bool {
 	i := slices.Index(w.flow.waiters, w)
@@ -135,6 +158,9 @@
 // wait queues a request until it is placed, refused or abandoned.
 func (p *Placer) wait(ctx context.Context, g *group, r Request) (Target, error) {
 	limit := maxWait
+	if r.LocalOnly {
+		limit = maxHopWait
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		limit = min(limit, time.Until(deadline)/2)
 	}
@@ -143,6 +169,8 @@
 	}
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
+	move := time.NewTimer(min(moveAfter, limit/2))
+	defer move.Stop()
 	w := &waiter{request: r, ready: make(chan Target, 1)}
 	p.enqueue(g, w, (*queue).push)
 	for {
@@ -155,6 +183,10 @@
 				return t, nil
 			}
 			p.enqueue(g, w, (*queue).pushBack)
+		case <-move.C:
+			if t, ok := p.move(g, w); ok {
+				return t, nil
+			}
 		case <-timer.C:
 			p.abandon(g, w)
 			return Target{}, ErrNoCapacity
@@ -206,6 +238,27 @@
 	}
 }
 
+// move takes a waiter out of the queue and sends it to the queue of a peer of
+// the region, where its workspace may have no others. Without this, a small
+// workspace whose callers all use one VM would get a part of that VM only.
+func (p *Placer) move(g *group, w *waiter) (Target, bool) {
+	if w.request.LocalOnly || w.request.Alone {
+		return Target{}, false
+	}
+	now := p.now()
+	g.queue.mu.Lock()
+	defer g.queue.mu.Unlock()
+	if len(w.flow.waiters) == 0 || !g.queue.disadvantaged(w.flow) {
+		return Target{}, false
+	}
+	l := p.anyPeer(g.peers.Load().near, &w.request, now)
+	if l == nil || !g.queue.remove(w) {
+		return Target{}, false
+	}
+	g.queued.Store(int64(g.queue.length))
+	return Target{placer: p, peer: l, generation: l.generation.Load(), started: now}, true
+}
+
 // wakeGroup places waiting requests after capacity may have become free.
 func (p *Placer) wakeGroup(g *group) {
 	if g.queued.Load() == 0 {
--- a/internal/coordination/fgplacement/target.go
+++ b/internal/coordination/fgplacement/target.go
@@ -37,8 +37,9 @@
 	peer       *peerLoad
 	generation int64
 	started    instant
-	weight     int64
-	release    func()
+	// weight is the capacity that was taken.
+	weight  int64
+	release func()
 }
 
 // Upstream returns the chosen upstream, or nil when the target is a peer.
@@ -65,7 +66,7 @@
 func (t Target) Done(r Result) {
 	now := t.placer.now()
 	if t.peer != nil {
-		t.peer.record(r, t.generation)
+		t.peer.record(r, t.generation, t.weight)
 		t.placer.wakeGroup(t.peer.group)
 		return
 	}
