--- a/internal/coordination/fgplacement/fleet_test.go
+++ b/internal/coordination/fgplacement/fleet_test.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
@@ -20,6 +22,7 @@
 	testGroup       = "orders"
 	exchangePeriod  = 500 * time.Millisecond
 	testPeerDelay   = 2 * time.Millisecond
+	testService     = 100 * time.Millisecond
 	testRegion      = "nairobi"
 	testOtherRegion = "kisumu"
 )
@@ -34,8 +37,8 @@
 	mu      sync.Mutex
 	running map[string]int
 	most    map[string]int
-	served  map[string]int
-	service time.Duration
+	// hops counts forwarded requests by workspace.
+	hops map[string]int
 }
 
 // node is one VM: it is the Permits and Caps of its placer.
@@ -61,7 +64,7 @@
 
 // newFleetOf returns a fleet in which only the first members have placers.
 func newFleetOf(t testing.TB, placers, vms int, region func(i int) string, resources ...fgapi.Resource) *fleet {
-	f := &fleet{t: t, running: map[string]int{}, most: map[string]int{}, served: map[string]int{}, service: 100 * time.Millisecond}
+	f := &fleet{t: t, running: map[string]int{}, most: map[string]int{}, hops: map[string]int{}}
 	var list []fgmember.Member
 	for i := range vms {
 		list = append(list, fgmember.Member{
@@ -189,6 +192,9 @@
 			f.serve(t)
 			return nil
 		}
+		f.mu.Lock()
+		f.hops[r.Workspace]++
+		f.mu.Unlock()
 		time.Sleep(testPeerDelay)
 		to := f.node(m.VM)
 		if !to.dead.Load() {
@@ -221,10 +227,9 @@
 	f.running[name]++
 	f.most[name] = max(f.most[name], f.running[name])
 	f.mu.Unlock()
-	time.Sleep(f.service)
+	time.Sleep(testService)
 	f.mu.Lock()
 	f.running[name]--
-	f.served[name]++
 	f.mu.Unlock()
 	t.Done(Answered)
 }
@@ -247,8 +252,62 @@
 	return resource(fgapi.KindDrain, "drain-"+target, &fgapi.DrainSpec{TargetKind: kind, Target: target})
 }
 
+// regionalCap declares the cap from testRegion to testOtherRegion.
+func regionalCap(rate int64) fgapi.Resource {
+	return resource(fgapi.KindRegionalCap, "cap", &fgapi.RegionalCapSpec{From: testRegion, To: testOtherRegion, RequestsPerSecond: rate, BitsPerSecond: 1})
+}
+
 func oneRegion(int) string { return testRegion }
 
+func twoRegions(i int) string { return []string{testRegion, testOtherRegion}[i%2] }
+
+// scenario runs a test on a warm fleet whose nodes exchange reports.
+func scenario(t *testing.T, vms int, region func(i int) string, resources []fgapi.Resource, run func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, vms, region, resources...)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.exchange(ctx)
+		f.warm()
+		run(t, f)
+	})
+}
+
+// offer sends requests of a workspace at nodes in turn, at a mean rate with
+// random gaps, and returns how many were served.
+func (f *fleet) offer(entries []*node, rate int, span time.Duration, workspace string) int {
+	next := 0
+	return offer(rate, span, func() func() bool {
+		n := entries[next%len(entries)]
+		next++
+		return func() bool {
+			return f.send(f.t.Context(), n, Request{Group: testGroup, Workspace: workspace}) == nil
+		}
+	})
+}
+
+// offerSeed seeds the random gaps between requests.
+const offerSeed = 1
+
+func offer(rate int, span time.Duration, next func() func() bool) int {
+	var wg sync.WaitGroup
+	var served atomic.Int64
+	random := rand.New(rand.NewPCG(offerSeed, uint64(rate)))
+	for range int(span.Seconds() * float64(rate)) {
+		send := next()
+		wg.Go(func() {
+			if send() {
+				served.Add(1)
+			}
+		})
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(rate)))
+	}
+	wg.Wait()
+	return int(served.Load())
+}
+
+func (f *fleet) put(r ...fgapi.Resource) { f.apply(fgconfig.Change{Put: r}) }
+
 // warm ends the slow start of all upstreams at all nodes.
 func (f *fleet) warm() {
 	time.Sleep(slowStartTime)
--- a/internal/coordination/fgplacement/placer_test.go
+++ b/internal/coordination/fgplacement/placer_test.go
@@ -67,7 +67,7 @@
 		}
 		finish(probes, Answered)
 		rises("returned")
-		f.apply(fgconfig.Change{Put: []fgapi.Resource{drain(fgapi.DrainUpstream, testRegion+"-0")}})
+		f.put(drain(fgapi.DrainUpstream, testRegion+"-0"))
 		if n := len(fill(t, p)); n != 0 {
 			t.Errorf("%d requests sent to a drained upstream", n)
 		}
@@ -194,12 +194,8 @@
 // Guards against new requests to a leaving upstream at any VM while the
 // platform is down: a VM that saw its draining answer tells the others.
 func TestLeavingUpstreamIsToldToPeers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 7, oneRegion, upstreams(testRegion, 2, 21)...)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		go f.exchange(ctx)
-		f.warm()
+	scenario(t, 7, oneRegion, upstreams(testRegion, 2, 21), func(t *testing.T, f *fleet) {
+		ctx := t.Context()
 		users := func(name string) (n int) {
 			for _, to := range f.nodes[1:] {
 				targets := fill(t, to.placer)
@@ -257,7 +253,7 @@
 		leaving := f.nodes[1].member
 		leaving.Leaving = true
 		f.members = membersOf(t, f.nodes[0].member, leaving, f.nodes[2].member, f.nodes[3].member)
-		f.apply(fgconfig.Change{Put: []fgapi.Resource{drain(fgapi.DrainVM, "vm-2")}})
+		f.put(drain(fgapi.DrainVM, "vm-2"))
 		p := f.nodes[0].placer
 		for _, n := range f.nodes[1:] {
 			loads, _ := n.placer.Report()
