Try an upstream again after its latency was measured long ago

Cause: an upstream avoided for its latency gets no requests that could show that it has become faster. Of two upstreams, the slower one got 1 of 200 requests, its first. A latency older than 10 s without requests is now unknown.

Two mechanisms were off without a failing test: latency in the choice, and the waking of waiters by peers' reports. TestLatencyCounts and TestReportsGuideAndWake now fail without them (more than 20 of 200 at the slow upstream; refused after 500 ms instead of placed at 100 ms), and without the weighting of peers by free capacity. Random choices in tests are seeded.

--- a/internal/coordination/fgplacement/fleet_test.go
+++ b/internal/coordination/fgplacement/fleet_test.go
@@ -76,7 +76,7 @@
 	f.snapshot = fgconfig.Empty()
 	for _, m := range list[:placers] {
 		n := &node{fleet: f, member: m, units: map[string]int64{}, used: map[string]int64{}, filled: time.Now()}
-		n.placer = New(Options{VM: m.VM, Region: m.Region, Permits: n, Caps: n})
+		n.placer = New(Options{VM: m.VM, Region: m.Region, Permits: n, Caps: n, Random: seeded(uint64(len(f.nodes)))})
 		f.nodes = append(f.nodes, n)
 	}
 	f.apply(fgconfig.Change{Put: resources})
@@ -286,9 +286,19 @@
 	})
 }
 
-// offerSeed seeds the random gaps between requests.
+// offerSeed seeds the random gaps between requests and the random choices.
 const offerSeed = 1
 
+func seeded(stream uint64) func(n int) int {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(offerSeed, stream))
+	return func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.IntN(n)
+	}
+}
+
 func offer(rate int, span time.Duration, next func() func() bool) int {
 	var wg sync.WaitGroup
 	var served atomic.Int64
--- a/internal/coordination/fgplacement/placer_bench_test.go
+++ b/internal/coordination/fgplacement/placer_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
@@ -18,6 +19,7 @@
 	}
 	f := newFleetOf(b, 1, vms, func(i int) string { return fmt.Sprintf("r%d", i%regions) }, resources...)
 	p := f.nodes[0].placer
+	p.options.Random = rand.IntN
 	for _, m := range f.members.All() {
 		p.Hear(Report{VM: m.VM, Incarnation: m.Incarnation, Loads: []Load{{Group: testGroup, Free: 1 << 40}}})
 	}
--- a/internal/coordination/fgplacement/placer_test.go
+++ b/internal/coordination/fgplacement/placer_test.go
@@ -313,6 +313,65 @@
 	})
 }
 
+// Guards against a choice that ignores latency, and against an upstream that is
+// avoided for good after it was slow once.
+func TestLatencyCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, oneRegion, upstreams(testRegion, 2, 0)...)
+		slow := 0
+		for range 200 {
+			target, err := f.nodes[0].placer.Place(t.Context(), Request{Group: testGroup})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if target.Upstream().Name() == testRegion+"-0" {
+				slow++
+				time.Sleep(300 * time.Millisecond)
+			}
+			time.Sleep(100 * time.Millisecond)
+			target.Done(Answered)
+		}
+		if slow < 2 || slow > 20 {
+			t.Errorf("seed %d: the slow upstream got %d of 200 requests in about 20 s", offerSeed, slow)
+		}
+	})
+}
+
+// Guards against a choice of peers that ignores how much is free, and against
+// waiters that a report of free capacity does not wake.
+func TestReportsGuideAndWake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, oneRegion, upstreams(testRegion, 1, 1)...)
+		p := f.nodes[2].placer
+		hear := func(vm int, free int64) {
+			m := f.nodes[vm].member
+			p.Hear(Report{VM: m.VM, Incarnation: m.Incarnation, Loads: []Load{{Group: testGroup, Free: free}}})
+		}
+		counts := map[string]int{}
+		for range 1000 {
+			hear(0, 90)
+			hear(1, 10)
+			target, err := p.Place(t.Context(), Request{Group: testGroup})
+			if err != nil {
+				t.Fatal(err)
+			}
+			m, _ := target.Peer()
+			counts[m.VM]++
+			target.Done(Answered)
+		}
+		if n := counts["vm-0"]; n < 850 || n > 950 {
+			t.Errorf("seed %d: the peer with 90 of 100 free permits got %d of 1,000 requests", offerSeed, n)
+		}
+		hear(0, 0)
+		hear(1, 0)
+		start := time.Now()
+		time.AfterFunc(100*time.Millisecond, func() { hear(0, 1) })
+		if _, err := p.Place(t.Context(), Request{Group: testGroup}); err != nil || time.Since(start) != 100*time.Millisecond {
+			t.Errorf("a request was placed after %v (%v), the report came after 100ms", time.Since(start), err)
+		}
+	})
+}
+
 // Guards against a suspect that shares an upstream with other requests, also
 // when all upstreams are busy as it arrives.
 func TestAlone(t *testing.T) {
--- a/internal/coordination/fgplacement/upstream.go
+++ b/internal/coordination/fgplacement/upstream.go
@@ -38,6 +38,9 @@
 	latencyGain = 0.1
 	// baselineRise weighs a slower sample in the baseline.
 	baselineRise = 0.01
+	// latencyLifetime without requests makes a measured latency unknown again, so
+	// that an upstream avoided for its latency is tried anew.
+	latencyLifetime = 10 * time.Second
 	// peakInterval is the time over which the most requests in flight tell
 	// whether the limit is pressed. Latency lags the requests that caused it.
 	peakInterval = time.Second
@@ -187,6 +190,9 @@
 		return math.Inf(1), 0
 	}
 	use = float64(u.inFlight.Load()+1) / float64(limit)
+	if int64(now)-u.lastUsed.Load() > int64(latencyLifetime) {
+		return use, 0
+	}
 	return use, math.Float64frombits(u.latency.Load())
 }
 
