--- /dev/null
+++ b/internal/coordination/fgplacement/fleet_scenarios_test.go
@@ -0,0 +1,220 @@
+package fgplacement
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/filbertgap/filbertgap/pkg/fgapi"
+)
+
+// Guards against more requests at an upstream than its slots, and against
+// capacity that stays unused while requests are refused: 12 upstreams with 3
+// slots behind 7 VMs, at 1.5 times their capacity, and then with one VM dead.
+func TestSlotsBehindSevenVMs(t *testing.T) {
+	scenario(t, 7, oneRegion, upstreams(testRegion, 12, 3), func(t *testing.T, f *fleet) {
+		check := func(name string, entries []*node, rate int, capacity int64, least float64) {
+			served := f.offer(entries, rate, 10*time.Second, "w")
+			t.Logf("%s: served %d of a capacity of %d in 10 s, seed %d", name, served, capacity, offerSeed)
+			for u, most := range f.most {
+				if most > 3 {
+					t.Errorf("%s: %d requests in flight on %s, which has 3 slots", name, most, u)
+				}
+			}
+			if float64(served) < least*float64(capacity) {
+				t.Errorf("%s: served %d, fewer than %v of %d", name, served, least, capacity)
+			}
+		}
+		check("7 VMs", f.nodes, 540, 3600, 0.9)
+		check("callers at one VM", f.nodes[:1], 360, 3600, 0.7)
+		f.nodes[6].dead.Store(true)
+		var units int64
+		for _, n := range f.nodes[:6] {
+			for _, u := range n.units {
+				units += u
+			}
+		}
+		check("one VM dead", f.nodes[:6], 540, 100*units, 0.9)
+	})
+}
+
+// Guards against a shift between regions above its cap, and against a cap that
+// is left unused, while the region of 3 of 6 VMs is drained. Without a declared
+// cap nothing may shift.
+func TestCapHoldsWhileRegionIsDrained(t *testing.T) {
+	resources := append(upstreams(testRegion, 6, 3), upstreams(testOtherRegion, 6, 3)...)
+	scenario(t, 6, twoRegions, resources, func(t *testing.T, f *fleet) {
+		const perVM = 30
+		home := []*node{f.nodes[0], f.nodes[2], f.nodes[4]}
+		for _, n := range home {
+			n.rate = perVM
+		}
+		f.put(drain(fgapi.DrainRegion, testRegion))
+		if served := f.offer(home, 150, 4*time.Second, "w"); served != 0 {
+			t.Errorf("%d requests shifted without a declared cap", served)
+		}
+		f.put(regionalCap(3 * perVM))
+		time.Sleep(time.Second)
+		served, admitted := f.offer(home, 150, 10*time.Second, "w"), 0
+		for _, n := range home {
+			admitted += n.admitted
+		}
+		t.Logf("served %d, admitted by the cap %d, at a cap of %d in 10 s, seed %d", served, admitted, 10*3*perVM, offerSeed)
+		if served > admitted || served < 8*3*perVM {
+			t.Errorf("%d requests shifted; the cap admitted %d and allows %d", served, admitted, 10*3*perVM)
+		}
+		for u, most := range f.most {
+			if most > 3 || strings.HasPrefix(u, testRegion) {
+				t.Errorf("%s had %d requests in flight", u, most)
+			}
+		}
+	})
+}
+
+// Guards against a wait for the cap that only a new request or report ends,
+// and against requests that lose their place to later ones when the cap refuses
+// them: 2 tokens are there, one more comes every 50 ms.
+func TestWaitForCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, twoRegions, append(upstreams(testOtherRegion, 1, 3), regionalCap(20))...)
+		n := f.nodes[0]
+		n.rate = 20
+		n.placer.Hear(Report{VM: "vm-1", Incarnation: "i-1", Loads: []Load{{Group: testGroup, Free: 9}}})
+		time.Sleep(time.Second)
+		start := time.Now()
+		took := make([]time.Duration, 6)
+		var wg sync.WaitGroup
+		for i := range took {
+			wg.Go(func() {
+				if _, err := n.placer.Place(t.Context(), Request{Group: testGroup}); err != nil {
+					t.Errorf("request %d: %v", i, err)
+				}
+				took[i] = time.Since(start)
+			})
+			time.Sleep(time.Millisecond)
+		}
+		wg.Wait()
+		t.Logf("placed after %v", took)
+		for i, d := range took {
+			if want := time.Duration(max(0, i-1)) * 50 * time.Millisecond; d > want+2*capRestTime || d < want-capRestTime {
+				t.Errorf("request %d was placed after %v, expected is about %v", i, d, want)
+			}
+		}
+	})
+}
+
+// Guards against many VMs that choose the same upstream or peer from the same
+// report: 70 requests arrive at 7 VMs between two reports.
+func TestNoHerding(t *testing.T) {
+	scenario(t, 7, oneRegion, upstreams(testRegion, 12, 0), func(t *testing.T, f *fleet) {
+		// The baseline sends to the upstream of least load in the last report,
+		// which all VMs have alike.
+		reported := []int{2, 1, 2, 3, 2, 2, 3, 2, 2, 2, 3, 2}
+		naive := make([]int, len(reported))
+		counts := map[string]int{}
+		for i := range 70 {
+			naive[slices.Index(reported, slices.Min(reported))]++
+			target, err := f.nodes[i%7].placer.Place(t.Context(), Request{Group: testGroup})
+			if err != nil {
+				t.Fatal(err)
+			}
+			counts[target.Upstream().Name()]++
+		}
+		most := slices.Max(slices.Collect(maps.Values(counts)))
+		t.Logf("of 70 requests, the busiest of 12 upstreams got %d; with least reported load %d", most, slices.Max(naive))
+		if most > 14 {
+			t.Errorf("one upstream got %d of 70 requests", most)
+		}
+		f = newFleet(t, 7, oneRegion, upstreams(testRegion, 12, 3)...)
+		p := f.nodes[0].placer
+		for _, n := range f.nodes[1:] {
+			p.Hear(Report{VM: n.member.VM, Incarnation: n.member.Incarnation, Loads: []Load{{Group: testGroup, Free: 4}}})
+		}
+		f.nodes[0].units = nil
+		p.Wake()
+		peers := map[string]int{}
+		for _, target := range fill(t, p) {
+			m, _ := target.Peer()
+			peers[m.VM]++
+		}
+		for _, n := range f.nodes[1:] {
+			if peers[n.member.VM] != 4 {
+				t.Errorf("%s reported 4 free permits and got %d requests", n.member.VM, peers[n.member.VM])
+			}
+		}
+	})
+}
+
+// Guards against a large workspace that takes a small one's part in a
+// shortage. The small one stays within its fair part; a plain FIFO queue of
+// the same length and wait is the baseline.
+func TestFairInShortage(t *testing.T) {
+	const capacity, span = 100, 20 * time.Second
+	scenario(t, 1, oneRegion, upstreams(testRegion, 10, 1), func(t *testing.T, f *fleet) {
+		fair := func(workspace string, rate int) int { return f.offer(f.nodes, rate, span, workspace) }
+		queue := fifo{slots: make(chan struct{}, 10)}
+		run := func(name string, offer func(workspace string, rate int) int) (small, large int) {
+			result := make(chan int)
+			go func() { result <- offer("large", 5*capacity) }()
+			small, large = offer("small", 40), <-result
+			t.Logf("%s: small %d of 800, large %d of 10,000, seed %d", name, small, large, offerSeed)
+			return small, large
+		}
+		run("FIFO baseline", func(_ string, rate int) int {
+			return offer(rate, span, func() func() bool { return queue.run })
+		})
+		small, large := run("fair queue", fair)
+		if small < 792 || small+large < capacity*int(span.Seconds())*9/10 {
+			t.Errorf("the small workspace got %d of 800 requests, both got %d", small, small+large)
+		}
+		f.put(resource(fgapi.KindWorkspace, "small", &fgapi.WorkspaceSpec{RequestsPerSecond: 1, Burst: 1, Weight: 1}),
+			resource(fgapi.KindWorkspace, "large", &fgapi.WorkspaceSpec{RequestsPerSecond: 1, Burst: 1, Weight: 4}))
+		small, large = run("weights 1 and 4", fair)
+		if part := float64(small) / float64(small+large); part < 0.17 || part > 0.23 {
+			t.Errorf("the workspace of weight 1 beside one of weight 4 got a part of %.2f", part)
+		}
+	})
+}
+
+// fifo is the baseline of TestFairInShortage: slots with a plain queue.
+type fifo struct {
+	slots   chan struct{}
+	waiting atomic.Int64
+}
+
+func (q *fifo) run() bool {
+	defer q.waiting.Add(-1)
+	if q.waiting.Add(1) > maxQueued {
+		return false
+	}
+	select {
+	case q.slots <- struct{}{}:
+	case <-time.After(maxWait):
+		return false
+	}
+	time.Sleep(testService)
+	<-q.slots
+	return true
+}
+
+// Guards against a small workspace that gets only a part of the one VM that its
+// callers use, while a large one fills the queues of all 7; and against hops of
+// the large one's excess.
+func TestFairWhereverCallersEnter(t *testing.T) {
+	scenario(t, 7, oneRegion, upstreams(testRegion, 12, 3), func(t *testing.T, f *fleet) {
+		for _, entries := range [][]*node{f.nodes, f.nodes[:1]} {
+			result := make(chan int)
+			go func() { result <- f.offer(f.nodes, 1800, 10*time.Second, "large") }()
+			small, large := f.offer(entries, 40, 10*time.Second, "small"), <-result
+			t.Logf("small at %d VMs %d of 400, large %d of 18,000, hops so far %v, seed %d", len(entries), small, large, f.hops, offerSeed)
+			if small < 396 || f.hops["large"] > 1800 {
+				t.Errorf("the small workspace got %d of 400 requests, hops %v", small, f.hops)
+			}
+		}
+	})
+}
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgplacement"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgsync"
 	"github.com/filbertgap/filbertgap/internal/fgmetrics"
@@ -48,6 +49,7 @@
 	dialer      *fgpeer.Dialer
 	upstreams   *fgupstream.Client
 	metrics     *fgmetrics.Metrics
+	placer      *fgplacement.Placer
 	requests
 	listeners listeners
 }
@@ -59,7 +61,7 @@
 // New returns an entry that uses a platform. Nothing runs before Run.
 func New(s Settings, store fgstore.Store, logger logr.Logger) *Entry {
 	dialer := fgpeer.NewDialer(s.fleetSecret)
-	return &Entry{
+	e := &Entry{
 		settings:    s,
 		logger:      logger,
 		incarnation: fgrequest.NewIncarnation(),
@@ -74,6 +76,8 @@
 		upstreams: fgupstream.New(fgupstream.Options{}),
 		metrics:   fgmetrics.New(),
 	}
+	e.placer = newPlacer(e)
+	return e
 }
 
 // Listen opens the entry's ports.
@@ -225,6 +229,7 @@
 // flight.
 func (e *Entry) stop(ctx context.Context, caller *http.Server) {
 	e.logger.Info("entry is leaving", "vm", e.settings.raw.VM)
+	e.placer.Stop()
 	e.submitQuietly(ctx, "leave-"+e.incarnation.String(), fgmember.BuildLeave(e.self()))
 	time.Sleep(e.settings.raw.DrainWait)
 	drain, cancel := context.WithTimeout(ctx, e.settings.raw.DrainTimeout)
--- a/internal/fgentry/fleet_test.go
+++ b/internal/fgentry/fleet_test.go
@@ -36,8 +36,10 @@
 	waits     chan struct{}
 	upstreams []*fgstandin.Upstream
 	crashed   []string
-	mu        sync.Mutex
-	key       fgkey.Key
+	// healOthers makes the first fault of an upstream the only one.
+	healOthers bool
+	mu         sync.Mutex
+	key        fgkey.Key
 }
 
 // killablePort is a peer port that can be closed as the death of its process
@@ -130,10 +132,12 @@
 			f.mu.Lock()
 			f.crashed = append(f.crashed, name)
 			f.mu.Unlock()
+			f.afterFault(u)
 			_ = s.Listener.Close()
 			s.CloseClientConnections()
 		})
 	})
+	u.OnShed(func() { f.afterFault(u) })
 	f.upstreams = append(f.upstreams, u)
 	return s.Listener.Addr().String()
 }
@@ -242,6 +246,39 @@
 	return a
 }
 
+// afterFault ends the faults of the other upstreams when healOthers is set, so
+// that a test does not depend on which one the placement tries first.
+func (f *fleet) afterFault(u *fgstandin.Upstream) {
+	if !f.healOthers {
+		return
+	}
+	for _, other := range f.upstreams {
+		if other != u {
+			other.SetBehavior(fgstandin.Behavior{})
+		}
+	}
+}
+
+// sendUntilServed repeats a request while the upstream that refused it rests.
+func (f *fleet) sendUntilServed(t *testing.T, entry int, method, path, id, body string) answer {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	for {
+		a := f.send(ctx, entry, method, path, id, body)
+		if a.code != "no-capacity" || a.outcome != "not-run" {
+			return a
+		}
+	}
+}
+
+// setBehavior sets the behavior of all upstreams.
+func (f *fleet) setBehavior(b fgstandin.Behavior) {
+	for _, u := range f.upstreams {
+		u.SetBehavior(b)
+	}
+}
+
 // ran returns how often the upstreams ran requests with a path.
 func (f *fleet) ran(path string) int {
 	n := 0
--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -127,7 +127,7 @@
 		return false
 	}
 	switch last {
-	case resultShed, resultUnreached:
+	case resultShed, resultDraining, resultUnreached:
 	case resultLost:
 		if c.once {
 			return false
@@ -143,6 +143,10 @@
 	if status == fgsuspect.Convicted {
 		return attempt{}, crashesUpstreams()
 	}
+	if status == fgsuspect.Suspect && e.suspects.Running(c.fingerprint) {
+		// Its end may clear the suspicion, and this call with it.
+		return attempt{busy: true, running: true, err: runsAlone()}, nil
+	}
 	t, err := e.place(r.Context(), c, placeOptions{
 		localOnly: c.hop == hopPlace, exclude: exclude, alone: status == fgsuspect.Suspect,
 	})
@@ -186,6 +190,10 @@
 		WithRetryAfter(fgsuspect.Lifetime)
 }
 
+func runsAlone() *fgproblem.Problem {
+	return noCapacity("a request that may crash upstreams runs alone")
+}
+
 func noCapacity(detail string) *fgproblem.Problem {
 	return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodeNoCapacity, detail).WithRetryAfter(shedRetryAfter)
 }
@@ -247,13 +255,13 @@
 	switch {
 	case errors.Is(err, fgsuspect.ErrBusy), errors.Is(err, fgsuspect.ErrRunning):
 		a.running = errors.Is(err, fgsuspect.ErrRunning)
-		a.busy, a.err = true, noCapacity("a request that may crash upstreams runs alone").WithRetryAfter(shedRetryAfter)
+		a.busy, a.err = true, runsAlone()
 		return a
 	case err != nil:
 		a.err = crashesUpstreams()
 		return a
 	}
-	defer func() { e.spreadSuspects(run.Leave(a.result == resultAnswered)) }()
+	defer func() { e.spreadSuspects(run.Leave(a.result == resultAnswered || a.result == resultFailed)) }()
 	if a.err = e.readmit(r.Context(), c); a.err != nil {
 		return a
 	}
@@ -262,11 +270,17 @@
 		out.Header.Set(fgupstream.HeaderRequestID, c.upstreamID)
 	}
 	res, outcome, cause := e.upstreams.RoundTrip(c.sendContext, t.upstream.Spec().Address, out)
-	if outcome != fgupstream.Answered {
-		a.result, a.err = e.unanswered(c, outcome, cause)
-	} else {
+	switch outcome {
+	case fgupstream.Refused:
+		a.result, a.err = resultOf(res), noCapacity("the upstream refused the request")
+	case fgupstream.Answered:
 		e.logger.Info("request", "requestId", c.id, "workspace", c.workspace, "vm", e.settings.raw.VM, "upstream", t.upstream.Name(), "outcome", "ran", "status", res.StatusCode)
 		a.result, a.err = e.passAnswer(w, c, res)
+		if a.result == resultAnswered {
+			a.result = resultOf(res)
+		}
+	default:
+		a.result, a.err = e.unanswered(c, outcome, cause)
 	}
 	if a.result == resultLost {
 		e.detectCrash(t.upstream)
--- a/internal/fgstandin/upstream.go
+++ b/internal/fgstandin/upstream.go
@@ -64,6 +64,7 @@
 type Upstream struct {
 	mu       sync.Mutex
 	crash    func()
+	onShed   func()
 	changed  chan struct{}
 	behavior Behavior
 	observed []Observed
@@ -88,6 +89,13 @@
 	u.crash = crash
 }
 
+// OnShed sets what is called after each refused request.
+func (u *Upstream) OnShed(shed func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.onShed = shed
+}
+
 // Await waits until at least n requests ran.
 func (u *Upstream) Await(ctx context.Context, n int) error {
 	for {
@@ -178,6 +186,9 @@
 func (u *Upstream) handleRequest(w http.ResponseWriter, r *http.Request) {
 	b, ok := u.begin()
 	if !ok {
+		if b := u.shedHook(); b != nil {
+			b()
+		}
 		w.Header().Set(HeaderNotRun, "true")
 		http.Error(w, "no capacity", http.StatusServiceUnavailable)
 		return
@@ -209,6 +220,12 @@
 	}
 }
 
+func (u *Upstream) shedHook() func() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.onShed
+}
+
 // begin takes a slot.
 func (u *Upstream) begin() (Behavior, bool) {
 	u.mu.Lock()
--- a/internal/state/fgsuspect/table.go
+++ b/internal/state/fgsuspect/table.go
@@ -123,6 +123,14 @@
 	return Clear
 }
 
+// Running reports whether a suspect runs in this process now.
+func (t *Table) Running(f Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.get(f)
+	return e != nil && e.running != nil
+}
+
 // get returns an entry that has not expired.
 func (t *Table) get(f Fingerprint) *entry {
 	e := t.entries[f]
--- a/internal/transport/fgupstream/client.go
+++ b/internal/transport/fgupstream/client.go
@@ -105,8 +105,8 @@
 }
 
 // RoundTrip sends a request to an upstream's address, at most once. The answer
-// is present when the outcome is Answered; its body must be closed. Otherwise
-// the error is present, except after Refused.
+// is present when the outcome is Answered or Refused; an Answered one's body
+// must be closed. Otherwise the error is present.
 func (c *Client) RoundTrip(ctx context.Context, address string, r *http.Request) (*http.Response, Outcome, error) {
 	var sent sentOn
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { sent.start(i.Conn) }}
@@ -123,7 +123,7 @@
 	if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(HeaderNotRun) == "true" {
 		_, _ = io.CopyN(io.Discard, res.Body, maxRefusalBytes)
 		_ = res.Body.Close()
-		return nil, Refused, nil
+		return res, Refused, nil
 	}
 	return res, Answered, nil
 }
