--- a/internal/state/fgshare/share_test.go
+++ b/internal/state/fgshare/share_test.go
@@ -211,7 +211,9 @@
 		lost := make(map[int]int64)
 		pick := func(t *rapid.T) int { return rapid.IntRange(0, len(fleet)-1).Draw(t, "bucket") }
 		t.Repeat(map[string]func(*rapid.T){
-			"wait": func(t *rapid.T) { now += time.Duration(rapid.Int64Range(1, int64(300*time.Millisecond)).Draw(t, "wait")) },
+			"wait": func(t *rapid.T) {
+				now += time.Duration(rapid.Int64Range(1, int64(300*time.Millisecond)).Draw(t, "wait"))
+			},
 			"raise": func(t *rapid.T) {
 				i := pick(t)
 				n := rapid.Int64Range(0, free).Draw(t, "units")
