--- /dev/null
+++ b/internal/coordination/fgledger/fleet_test.go
@@ -0,0 +1,284 @@
+package fgledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+	"github.com/filbertgap/filbertgap/internal/fgstandin"
+	"github.com/filbertgap/filbertgap/internal/state/fgjournal"
+	"github.com/filbertgap/filbertgap/internal/state/fgshare"
+)
+
+const (
+	rateName  = "workspace/small"
+	slotsName = "slots/u"
+	slotCount = 3
+)
+
+var (
+	smallRate  = fgshare.Rate(10, 5)
+	errCut     = errors.New("no connection")
+	testLimits = NewDeclaration(1, map[string]Declared{
+		rateName: NewDeclared(smallRate, ""), slotsName: NewDeclared(fgshare.Slots(slotCount), "r0"),
+	})
+)
+
+// fleet is holders and keepers in memory, with a stand-in platform. Calls
+// between regions take 55 ms each way.
+type fleet struct {
+	t        *testing.T
+	ctx      context.Context
+	platform fgstandin.Platform
+	parted   atomic.Bool
+
+	mu         sync.Mutex
+	set        *fgmember.Set
+	generation uint64
+	nodes      []*node
+	wg         sync.WaitGroup
+
+	start     time.Time
+	reference fgshare.Bucket
+	inUse     int64
+}
+
+type node struct {
+	*Holder
+	fleet    *fleet
+	self     fgmember.Member
+	borrower *Borrower
+	paused   atomic.Bool
+	dead     atomic.Bool
+
+	mu    sync.Mutex
+	heard map[string]report
+}
+
+type report struct {
+	demands  []Demand
+	revision uint64
+	at       time.Time
+}
+
+// newFleet starts 7 holders in 3 regions. The caller ends it by cancelling the
+// context and waiting.
+func newFleet(t *testing.T) (*fleet, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{t: t, ctx: ctx, set: fgmember.EmptySet(), start: time.Now(), nodes: make([]*node, 7)}
+	f.reference.Resize(0, smallRate, fgshare.RateUnits)
+	for i := range f.nodes {
+		f.launch(i, fmt.Sprintf("i%d", i))
+	}
+	return f, func() { cancel(); f.wg.Wait() }
+}
+
+// launch registers a process on a VM and replaces the one before.
+func (f *fleet) launch(i int, incarnation string) {
+	if old := f.nodes[i]; old != nil {
+		old.dead.Store(true)
+	}
+	m := fgmember.Member{VM: fmt.Sprint("vm", i), Incarnation: incarnation, Region: fmt.Sprint("r", i%3)}
+	n := &node{Holder: NewHolder(incarnation, logr.Discard()), fleet: f, self: m, heard: map[string]report{}}
+	n.borrower = NewBorrower(n.Holder, n, n, m)
+	payload, _ := fgmember.BuildRegister(m)(f.set)
+	f.mu.Lock()
+	f.set, _ = fgmember.Apply(f.set, fgjournal.Entry{Payload: payload})
+	f.generation++
+	f.nodes[i] = n
+	f.mu.Unlock()
+	n.Declare(testLimits)
+	k := NewKeeper(KeeperOptions{Holder: n.Holder, Store: n, Peers: n, Fleet: n, Logger: logr.Discard()})
+	f.wg.Go(func() { n.Follow(f.ctx, n) })
+	f.wg.Go(func() { k.Run(f.ctx, nil) })
+	f.wg.Go(n.exchange)
+}
+
+// exchange swaps demands with all reachable peers.
+func (n *node) exchange() {
+	for n.fleet.ctx.Err() == nil && !n.dead.Load() {
+		n.await()
+		_, set := n.Members()
+		for _, m := range set.All() {
+			if p := n.fleet.find(m.Incarnation); p != nil && n.reaches(p) {
+				r := report{demands: n.Holder.Demands(), revision: n.Revision(), at: time.Now()}
+				p.mu.Lock()
+				p.heard[n.self.Incarnation] = r
+				p.mu.Unlock()
+				p.borrower.Update()
+			}
+		}
+		sleep(n.fleet.ctx, 500*time.Millisecond)
+	}
+}
+
+func (f *fleet) find(incarnation string) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		if n != nil && n.self.Incarnation == incarnation {
+			return n
+		}
+	}
+	return nil
+}
+
+func (n *node) reaches(p *node) bool {
+	return !p.paused.Load() && !p.dead.Load() && !(n.fleet.parted.Load() && n.self.Region != p.self.Region)
+}
+
+// await stops a paused or dead process where it is.
+func (n *node) await() {
+	for (n.paused.Load() || n.dead.Load()) && n.fleet.ctx.Err() == nil {
+		sleep(n.fleet.ctx, 10*time.Millisecond)
+	}
+}
+
+func (n *node) Members() (uint64, *fgmember.Set) {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.fleet.generation, n.fleet.set
+}
+
+func (n *node) Alive(incarnation string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Since(n.heard[incarnation].at) <= fgmember.AliveTimeout
+}
+
+func (n *node) Demands(incarnation string) ([]Demand, uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.heard[incarnation].demands, n.heard[incarnation].revision
+}
+
+// call reaches a peer after a delay, or fails when the context ends.
+func (n *node) call(ctx context.Context, to fgmember.Member, do func(*node)) error {
+	p := n.fleet.find(to.Incarnation)
+	delay := 1500 * time.Microsecond
+	if n.self.Region != to.Region {
+		delay = 55 * time.Millisecond
+	}
+	sleep(ctx, delay)
+	if p == nil || !n.reaches(p) {
+		<-ctx.Done()
+		return errCut
+	}
+	do(p)
+	sleep(ctx, delay)
+	n.await()
+	return ctx.Err()
+}
+
+func (n *node) Lower(ctx context.Context, to fgmember.Member, limit string, units int64, revision uint64) (promised int64, err error) {
+	var refused error
+	err = n.call(ctx, to, func(p *node) { promised, refused = p.Holder.Lower(to.Incarnation, limit, units, revision) })
+	return promised, errors.Join(err, refused)
+}
+
+func (n *node) Borrow(ctx context.Context, to fgmember.Member, limit string, amount int64) (granted int64, err error) {
+	err = n.call(ctx, to, func(p *node) { granted = p.Lend(limit, amount) })
+	return granted, err
+}
+
+func (n *node) Ledger(ctx context.Context, to fgmember.Member) (v fgstore.Value, err error) {
+	err = n.call(ctx, to, func(p *node) { v = p.Value() })
+	return v, err
+}
+
+// The node's store is the platform behind the node's pauses: a process may be
+// paused before each call and before each answer.
+func (n *node) Get(ctx context.Context, key string) (fgstore.Value, error) {
+	defer n.await()
+	return n.fleet.platform.Get(ctx, key)
+}
+
+func (n *node) CompareAndSwap(ctx context.Context, key string, expected uint64, data []byte) (uint64, error) {
+	n.await()
+	defer n.await()
+	return n.fleet.platform.CompareAndSwap(context.WithoutCancel(ctx), key, expected, data)
+}
+
+func (n *node) Delete(context.Context, string, uint64) error { return fgstore.ErrUnavailable }
+
+func (n *node) Watch(ctx context.Context, key string, after uint64) (fgstore.Value, error) {
+	defer n.await()
+	return n.fleet.platform.Watch(ctx, key, after)
+}
+
+// request spends one token at a VM, and checks it against one bucket that has
+// the whole limit.
+func (f *fleet) request(i int) bool {
+	n := f.nodes[i]
+	if !n.borrower.Take(f.ctx, rateName, n.Rate(rateName), fgshare.Token) {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Since(f.start)
+	// Holders and reference round each refill down.
+	if missing := f.reference.Missing(now, fgshare.Token); missing > 1 {
+		f.t.Errorf("%v: a request was admitted %d thousandths above the limit", now, missing)
+	}
+	f.reference.TakeUpTo(now, fgshare.Token)
+	return true
+}
+
+// hold takes a slot at a VM for a while.
+func (f *fleet) hold(i int, d time.Duration) {
+	s := f.nodes[i].Slots(slotsName)
+	if !s.Acquire() {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.inUse++; f.inUse > slotCount {
+		f.t.Errorf("%d of %d slots are in use", f.inUse, slotCount)
+	}
+	time.AfterFunc(d, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.inUse--
+		s.Release()
+	})
+}
+
+// check fails when the processes that run can use more units than there are.
+func (f *fleet) check() {
+	var rate, slots int64
+	for _, n := range f.nodes {
+		n.Holder.mu.Lock()
+		rate += n.state.Units(rateName, smallRate.Units())
+		slots += n.state.Units(slotsName, slotCount)
+		n.Holder.mu.Unlock()
+	}
+	if rate > smallRate.Units() || slots > slotCount {
+		f.t.Fatalf("%v: %d of %d units and %d of %d slots are usable", time.Since(f.start), rate, smallRate.Units(), slots, slotCount)
+	}
+}
+
+// traffic sends random requests, at about three times the rate, through all VMs.
+func (f *fleet) traffic(r *rand.Rand, d time.Duration) int64 {
+	var admitted atomic.Int64
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Duration(r.IntN(70)) * time.Millisecond) {
+		i := r.IntN(len(f.nodes))
+		f.hold(i, time.Duration(r.IntN(3000))*time.Millisecond)
+		// A request of a paused process ends after this function.
+		f.wg.Go(func() {
+			if !f.nodes[i].paused.Load() && f.request(i) {
+				admitted.Add(1)
+			}
+		})
+		f.check()
+	}
+	return admitted.Load()
+}
--- a/internal/state/fgshare/bucket.go
+++ b/internal/state/fgshare/bucket.go
@@ -65,12 +65,16 @@
 	return max(0, amount-b.stored-total(b.borrowed))
 }
 
-// Lend spends at most an amount for another holder and returns what it spent.
-// It counts against the capacity until LoanValidity has passed, so that the
-// bucket does not refill while the borrower can still spend.
+// Lend spends an amount, or as many whole tokens as it has of it, for another
+// holder and returns what it spent. A part of a token that does not complete a
+// request would expire unused. The loan counts against the capacity until
+// LoanValidity has passed, so that the bucket does not refill while the
+// borrower can still spend.
 func (b *Bucket) Lend(now time.Duration, amount int64) int64 {
 	b.advance(now)
-	amount = min(amount, b.stored)
+	if amount > b.stored {
+		amount = b.stored - b.stored%Token
+	}
 	if amount <= 0 {
 		return 0
 	}
--- a/internal/state/fgshare/distribute.go
+++ b/internal/state/fgshare/distribute.go
@@ -22,7 +22,9 @@
 // one, then max-min by demand. What is left goes to the demanding holders in
 // proportion for a rate, whose tokens can be borrowed, and to all evenly for
 // slots, which cannot. Without demand the units of a rate stay where they are.
-func Distribute(l Limit, claims []Claim) map[string]int64 {
+// Fixed units are held by others and cannot be given.
+func Distribute(l Limit, claims []Claim, fixed int64) map[string]int64 {
+	l.units = max(0, l.units-fixed)
 	claims = slices.Clone(claims)
 	if len(claims) == 0 {
 		return nil
@@ -30,13 +32,13 @@
 	if !l.divisible {
 		return distributeSlots(l, claims)
 	}
-	demand := sum(claims, func(c Claim) int64 { return c.demand })
-	if demand == 0 {
+	if sum(claims, func(c Claim) int64 { return c.demand }) == 0 {
 		return distributeIdle(l, claims)
 	}
-	applyFloor(l, claims)
+	concentrate(l, claims)
+	applyFloor(claims)
 	units := maxMin(l.units, claims)
-	left := l.units - sumOf(units)
+	left, demand := l.units-sumOf(units), sum(claims, func(c Claim) int64 { return c.demand })
 	for _, c := range claims {
 		units[c.holder] += mulDiv(left, c.demand, demand)
 	}
@@ -45,6 +47,31 @@
 	return units
 }
 
+const (
+	// tokensPerHolder is the least part of a burst worth holding. Below it, most
+	// refill is lost in buckets that are full before they hold a token.
+	tokensPerHolder = 2
+	// minHolders keeps half of a limit usable when a holder of it is lost.
+	minHolders = 2
+)
+
+// concentrate lets only as many holders have more than the floor as the burst
+// is worth dividing between: those with the largest demand, where a holder that
+// already has units counts up to three times, since each move of units discards
+// stored tokens. The other holders borrow.
+func concentrate(l Limit, claims []Claim) {
+	holders := int(max(minHolders, l.burst/tokensPerHolder))
+	if holders >= len(claims) {
+		return
+	}
+	slices.SortStableFunc(claims, func(a, b Claim) int {
+		return cmp.Compare(b.demand+min(b.current, 2*b.demand), a.demand+min(a.current, 2*a.demand))
+	})
+	for i := holders; i < len(claims); i++ {
+		claims[i].demand = 0
+	}
+}
+
 // distributeIdle keeps all units and divides the free ones evenly.
 func distributeIdle(l Limit, claims []Claim) map[string]int64 {
 	units := map[string]int64{}
@@ -56,7 +83,7 @@
 }
 
 func distributeSlots(l Limit, claims []Claim) map[string]int64 {
-	applyFloor(l, claims)
+	applyFloor(claims)
 	units := maxMin(l.units, claims)
 	// Holders that already have units come first, so that an idle limit rests.
 	slices.SortStableFunc(claims, func(a, b Claim) int { return cmp.Compare(b.current, a.current) })
@@ -64,23 +91,15 @@
 	return units
 }
 
-// applyFloor raises the demand of active holders to the floor, or to one unit
-// where the floor is too much for all. The holders with the largest demand come
-// first where there are fewer units than holders.
-func applyFloor(l Limit, claims []Claim) {
-	active := sum(claims, func(c Claim) int64 {
-		if c.active {
-			return 1
-		}
-		return 0
-	})
-	floor := l.floorOfUnit
-	if floor*active > l.units {
-		floor = 1
-	}
+// Floor is the number of units that an active holder keeps where there are
+// enough.
+const Floor = 1
+
+// applyFloor raises the demand of active holders to the floor.
+func applyFloor(claims []Claim) {
 	for i := range claims {
 		if claims[i].active {
-			claims[i].demand = max(claims[i].demand, floor)
+			claims[i].demand = max(claims[i].demand, Floor)
 		}
 	}
 }
--- a/internal/state/fgshare/limit.go
+++ b/internal/state/fgshare/limit.go
@@ -23,20 +23,19 @@
 
 // Limit is a declared total: a rate with a burst, or a number of slots.
 type Limit struct {
-	units       int64
-	perSecond   int64
-	burst       int64
-	divisible   bool
-	floorOfUnit int64
+	units     int64
+	perSecond int64
+	burst     int64
+	divisible bool
 }
 
 // Rate returns a limit of tokens per second with a burst.
 func Rate(perSecond, burst int64) Limit {
-	return Limit{units: RateUnits, perSecond: perSecond, burst: burst, divisible: true, floorOfUnit: RateUnits / 100}
+	return Limit{units: RateUnits, perSecond: perSecond, burst: burst, divisible: true}
 }
 
 // Slots returns a limit of permits that are in use at the same time.
-func Slots(n int64) Limit { return Limit{units: n, floorOfUnit: 1} }
+func Slots(n int64) Limit { return Limit{units: n} }
 
 // Units returns the number of units into which the limit is divided.
 func (l Limit) Units() int64 { return l.units }
@@ -44,9 +43,6 @@
 // IsRate reports whether the limit is a rate.
 func (l Limit) IsRate() bool { return l.divisible }
 
-// Floor returns the units that an active holder keeps where there are enough.
-func (l Limit) Floor() int64 { return l.floorOfUnit }
-
 // Capacity returns the amount that a bucket with some of the units can hold.
 func (l Limit) Capacity(units int64) int64 {
 	return mulDiv(l.burst*Token, units, l.units)
