Admit requests, permits and bodies by shares of limits

admitWorkspace and admitRegionalCap borrow before they refuse (429, rate-exceeded, Retry-After from the bucket). pace pays for each piece of a body in bits before it passes it on. acquirePermit takes a slot of the share. Peers learn use and spare tokens from Exchange. LowerRequest names the holder, so that a new process at the same address does not answer for the one before.

Decisions: a cap's burst is a tenth of its rate; without a declared cap nothing is limited; a cap of 0 lets nothing cross.

--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -46,6 +46,7 @@
 	reports     fgmember.Reports
 	dialer      *fgpeer.Dialer
 	upstreams   *fgupstream.Client
+	limits      *limits
 	listeners   listeners
 }
 
@@ -55,7 +56,7 @@
 
 // New returns an entry that uses a platform. Nothing runs before Run.
 func New(s Settings, store fgstore.Store, logger logr.Logger) *Entry {
-	return &Entry{
+	e := &Entry{
 		settings:    s,
 		logger:      logger,
 		incarnation: fgrequest.NewIncarnation(),
@@ -68,6 +69,8 @@
 		dialer:    fgpeer.NewDialer(s.fleetSecret),
 		upstreams: fgupstream.New(),
 	}
+	e.limits = newLimits(e, store)
+	return e
 }
 
 // Listen opens the entry's ports.
--- a/internal/fgentry/limits.go
+++ b/internal/fgentry/limits.go
@@ -3,25 +3,208 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"sync"
+	"time"
 
+	"github.com/sourcegraph/conc"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgledger"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/internal/state/fgshare"
+	"github.com/filbertgap/filbertgap/pkg/fgapi"
+)
+
+const (
+	// capBurstPart is the part of a regional cap's rate that may cross at once.
+	capBurstPart = 10
+	// defaultRetryAfter is given when this process cannot tell when it will have
+	// a token, because it holds no share.
+	defaultRetryAfter = time.Second
+	// paceChunk is the largest piece of a paced body.
+	paceChunk = 16 << 10
+	// paceInterval separates attempts to get tokens for a piece.
+	paceInterval = 20 * time.Millisecond
+	// maxSendPause is the longest time between taking a token and sending. After
+	// a longer pause others may have spent the refill.
+	maxSendPause = 100 * time.Millisecond
+
+	bitsPerByte = 8
 )
 
+// regionPair is an ordered pair of regions.
+type regionPair struct{ from, to string }
+
+// limitNames maps what a request carries to names of limits, so that the
+// routing path builds no strings. It is immutable.
+type limitNames struct {
+	workspaces map[string]string
+	slots      map[string]string
+	capRate    map[regionPair]string
+	capBits    map[regionPair]string
+}
+
+// declareLimits returns the limits of a configuration and their names.
+func declareLimits(s *fgconfig.Snapshot) (*limitNames, fgledger.Declaration) {
+	names := &limitNames{
+		workspaces: map[string]string{}, slots: map[string]string{},
+		capRate: map[regionPair]string{}, capBits: map[regionPair]string{},
+	}
+	limits := map[string]fgledger.Declared{}
+	for _, r := range s.All() {
+		switch spec := r.Spec.(type) {
+		case *fgapi.WorkspaceSpec:
+			name := "workspace/" + r.Metadata.Name
+			names.workspaces[r.Metadata.Name] = name
+			limits[name] = fgledger.NewDeclared(fgshare.Rate(spec.RequestsPerSecond, spec.Burst), "")
+		case *fgapi.RegionalCapSpec:
+			pair := regionPair{from: spec.From, to: spec.To}
+			prefix := "cap/" + spec.From + "/" + spec.To
+			names.capRate[pair] = prefix + "/requests"
+			names.capBits[pair] = prefix + "/bits"
+			limits[prefix+"/requests"] = fgledger.NewDeclared(capRate(spec.RequestsPerSecond), "")
+			limits[prefix+"/bits"] = fgledger.NewDeclared(capRate(spec.BitsPerSecond), "")
+		case *fgapi.UpstreamSpec:
+			if spec.Slots > 0 {
+				name := "slots/" + r.Metadata.Name
+				names.slots[r.Metadata.Name] = name
+				limits[name] = fgledger.NewDeclared(fgshare.Slots(spec.Slots), spec.Region)
+			}
+		}
+	}
+	return names, fgledger.NewDeclaration(s.Generation(), limits)
+}
+
+// capRate returns the limit of a regional cap. A cap of 0 lets nothing cross.
+func capRate(perSecond int64) fgshare.Limit {
+	if perSecond == 0 {
+		return fgshare.Rate(0, 0)
+	}
+	return fgshare.Rate(perSecond, max(1, perSecond/capBurstPart))
+}
+
 // admitWorkspace spends one request of the workspace's rate.
-func (e *Entry) admitWorkspace(_ context.Context, _ *call) error { return nil }
+func (e *Entry) admitWorkspace(ctx context.Context, c *call) error {
+	if c.workspace == "" {
+		return nil
+	}
+	return e.limits.takeRequest(ctx, e.limits.names.Load().workspaces[c.workspace], "the workspace is above its rate")
+}
 
-// admitRegionalCap spends one request of the cap between two regions.
-func (e *Entry) admitRegionalCap(_ context.Context, _, _ string) error { return nil }
+// readmitWorkspace spends one more request when a pause since the admission was
+// too long. Callers check it just before they send.
+func (e *Entry) readmitWorkspace(ctx context.Context, c *call, admitted time.Time) error {
+	if time.Since(admitted) <= maxSendPause {
+		return nil
+	}
+	return e.admitWorkspace(ctx, c)
+}
+
+// admitRegionalCap spends one request of the cap between two regions. Without a
+// declared cap, or within a region, nothing is limited.
+func (e *Entry) admitRegionalCap(ctx context.Context, from, to string) error {
+	name, ok := e.limits.names.Load().capRate[regionPair{from: from, to: to}]
+	if !ok {
+		return nil
+	}
+	return e.limits.takeRequest(ctx, name, "the cap between the regions is reached")
+}
+
+func (l *limits) takeRequest(ctx context.Context, name, detail string) error {
+	r := l.holder.Rate(name)
+	if r == nil {
+		return rateExceeded(detail, defaultRetryAfter)
+	}
+	if l.borrower.Take(ctx, name, r, fgshare.Token) {
+		return nil
+	}
+	wait, ok := r.Wait(fgshare.Token)
+	if !ok {
+		wait = defaultRetryAfter
+	}
+	return rateExceeded(detail, wait)
+}
+
+func rateExceeded(detail string, wait time.Duration) error {
+	return fgproblem.New(http.StatusTooManyRequests, fgproblem.CodeRateExceeded, detail).WithRetryAfter(max(wait, 1))
+}
 
 // pace limits a body that crosses from one region to another to the cap's bits
 // per second.
-func (e *Entry) pace(_ context.Context, _, _ string, body io.Reader) io.Reader { return body }
+func (e *Entry) pace(ctx context.Context, from, to string, body io.Reader) io.Reader {
+	name, ok := e.limits.names.Load().capBits[regionPair{from: from, to: to}]
+	if !ok {
+		return body
+	}
+	return &pacedReader{ctx: ctx, limits: e.limits, name: name, body: body}
+}
+
+// pacedReader hands out bytes once their bits are paid for.
+type pacedReader struct {
+	ctx    context.Context
+	limits *limits
+	name   string
+	body   io.Reader
+}
+
+// Read reads a piece and waits for the tokens for it.
+func (p *pacedReader) Read(b []byte) (int, error) {
+	n, err := p.body.Read(b[:min(len(b), paceChunk)])
+	if n == 0 {
+		return n, err
+	}
+	if paid := p.pay(int64(n) * bitsPerByte * fgshare.Token); paid != nil {
+		return 0, paid
+	}
+	return n, err
+}
+
+func (p *pacedReader) pay(amount int64) error {
+	for {
+		if r := p.limits.holder.Rate(p.name); r != nil {
+			amount -= p.limits.borrower.TakeUpTo(p.ctx, p.name, r, amount)
+		}
+		if amount == 0 {
+			return nil
+		}
+		timer := time.NewTimer(paceInterval)
+		select {
+		case <-p.ctx.Done():
+			timer.Stop()
+			return p.ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
 
 // acquirePermit takes one slot of an upstream. The returned function gives it
-// back.
-func (e *Entry) acquirePermit(_ *fgconfig.Upstream) (release func(), ok bool) {
-	return func() {}, true
+// back; further calls of it have no effect.
+func (e *Entry) acquirePermit(u *fgconfig.Upstream) (release func(), ok bool) {
+	if u.Spec().Slots == 0 {
+		return func() {}, true
+	}
+	s := e.limits.holder.Slots(e.limits.names.Load().slots[u.Name()])
+	if s == nil || !s.Acquire() {
+		return nil, false
+	}
+	return sync.OnceFunc(s.Release), true
 }
 
 // runLimits keeps the shares of limits up to date until the context ends.
-func (e *Entry) runLimits(ctx context.Context) { <-ctx.Done() }
+func (e *Entry) runLimits(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { e.limits.holder.Follow(ctx, e.limits.store) })
+	wg.Go(func() { e.limits.keeper.Run(ctx, e.limits.wake) })
+	for ctx.Err() == nil {
+		config, members := e.config.Changed(), e.members.Changed()
+		e.limits.declare(e.config.State())
+		e.limits.askRound()
+		select {
+		case <-ctx.Done():
+		case <-config:
+		case <-members:
+		}
+	}
+}
--- /dev/null
+++ b/internal/fgentry/limitservice.go
@@ -0,0 +1,168 @@
+package fgentry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgledger"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
+	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/internal/state/fgshare"
+)
+
+// limits is this process's part in the fleet's limits. It connects the ledger
+// with the member journal and the peers.
+type limits struct {
+	entry    *Entry
+	store    fgstore.Store
+	holder   *fgledger.Holder
+	keeper   *fgledger.Keeper
+	borrower *fgledger.Borrower
+	names    atomic.Pointer[limitNames]
+	wake     chan struct{}
+
+	mu    sync.Mutex
+	heard map[string]limitReport
+}
+
+// limitReport is what a peer last said about limits.
+type limitReport struct {
+	demands  []fgledger.Demand
+	revision uint64
+}
+
+var (
+	_ fgledger.Fleet = (*limits)(nil)
+	_ fgledger.Peers = (*limits)(nil)
+)
+
+func newLimits(e *Entry, store fgstore.Store) *limits {
+	l := &limits{entry: e, store: store, wake: make(chan struct{}, 1), heard: map[string]limitReport{}}
+	l.holder = fgledger.NewHolder(e.incarnation.String(), e.logger)
+	l.keeper = fgledger.NewKeeper(fgledger.KeeperOptions{Holder: l.holder, Store: store, Peers: l, Fleet: l, Logger: e.logger})
+	l.borrower = fgledger.NewBorrower(l.holder, l, l, fgmember.Member{Incarnation: e.incarnation.String(), Region: e.settings.raw.Region})
+	l.names.Store(&limitNames{})
+	return l
+}
+
+func (l *limits) declare(s *fgconfig.Snapshot) {
+	names, declaration := declareLimits(s)
+	l.holder.Declare(declaration)
+	l.names.Store(names)
+}
+
+// askRound asks the keeper for a round without waiting for it.
+func (l *limits) askRound() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// report adds the use of limits to a state for peers.
+func (l *limits) report(n *fgwire.NodeState) *fgwire.NodeState {
+	for _, d := range l.holder.Demands() {
+		n.Demands = append(n.Demands, &fgwire.LimitDemand{Limit: d.Limit(), Used: d.Used(), Refused: d.Refused(), Spare: d.Spare()})
+	}
+	n.LedgerRevision = l.holder.Revision()
+	return n
+}
+
+// hear records a peer's use of limits.
+func (l *limits) hear(n *fgwire.NodeState) {
+	if n.GetIncarnation() == l.entry.incarnation.String() {
+		return
+	}
+	demands := make([]fgledger.Demand, 0, len(n.GetDemands()))
+	for _, d := range n.GetDemands() {
+		demands = append(demands, fgledger.NewDemand(d.GetLimit(), d.GetUsed(), d.GetRefused(), d.GetSpare()))
+	}
+	_, set := l.Members()
+	l.mu.Lock()
+	for incarnation := range l.heard {
+		if _, ok := set.ByIncarnation(incarnation); !ok {
+			delete(l.heard, incarnation)
+		}
+	}
+	l.heard[n.GetIncarnation()] = limitReport{demands: demands, revision: n.GetLedgerRevision()}
+	l.mu.Unlock()
+	l.borrower.Update()
+}
+
+// Members returns the members with the generation that they have. Both are read
+// again if the journal moved in between: a wrong generation would make a false
+// proof that a holder is gone.
+func (l *limits) Members() (uint64, *fgmember.Set) {
+	for {
+		generation, set := l.entry.members.Generation(), l.entry.members.State()
+		if generation == l.entry.members.Generation() {
+			return generation, set
+		}
+	}
+}
+
+// Alive reports whether a process was heard lately.
+func (l *limits) Alive(incarnation string) bool { return l.entry.reports.Alive(incarnation) }
+
+// Demands returns what a peer last reported.
+func (l *limits) Demands(incarnation string) ([]fgledger.Demand, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.heard[incarnation]
+	return r.demands, r.revision
+}
+
+func (l *limits) client(ctx context.Context, m fgmember.Member) fgwire.DRPCPeerClient {
+	return fgwire.NewDRPCPeerClient(l.entry.dialer.RPC(ctx, m.PeerAddress))
+}
+
+// Lower asks a member to hold fewer units.
+func (l *limits) Lower(ctx context.Context, to fgmember.Member, limit string, units int64, revision uint64) (int64, error) {
+	answer, err := l.client(ctx, to).Lower(ctx, &fgwire.LowerRequest{Limit: limit, Units: units, LedgerRevision: revision, Holder: to.Incarnation})
+	if err != nil {
+		return 0, err
+	}
+	return answer.GetUnits(), nil
+}
+
+// Borrow asks a member for tokens, in thousandths.
+func (l *limits) Borrow(ctx context.Context, from fgmember.Member, limit string, amount int64) (int64, error) {
+	answer, err := l.client(ctx, from).Borrow(ctx, &fgwire.BorrowRequest{Limit: limit, Count: amount, Borrower: l.entry.incarnation.String()})
+	if err != nil {
+		return 0, err
+	}
+	return answer.GetGranted(), nil
+}
+
+// Ledger fetches the ledger that a member knows.
+func (l *limits) Ledger(ctx context.Context, from fgmember.Member) (fgstore.Value, error) {
+	answer, err := l.client(ctx, from).Fetch(ctx, &fgwire.FetchRequest{Journal: fgledger.Key, Generation: l.holder.Revision()})
+	if err != nil {
+		return fgstore.Value{}, err
+	}
+	return fgstore.Value{Key: fgledger.Key, Data: answer.GetHead(), Revision: answer.GetRevision()}, nil
+}
+
+// fetchAnswer answers a Fetch of the ledger.
+func (l *limits) fetchAnswer() *fgwire.FetchAnswer {
+	v := l.holder.Value()
+	return &fgwire.FetchAnswer{Head: v.Data, Revision: v.Revision}
+}
+
+// Borrow lends tokens of this process's share. Counts are thousandths.
+func (s *peerService) Borrow(_ context.Context, in *fgwire.BorrowRequest) (*fgwire.BorrowAnswer, error) {
+	granted := s.entry.limits.holder.Lend(in.GetLimit(), in.GetCount())
+	return &fgwire.BorrowAnswer{Granted: granted, ValidMs: fgshare.LoanValidity.Milliseconds()}, nil
+}
+
+// Lower makes this process hold fewer units.
+func (s *peerService) Lower(_ context.Context, in *fgwire.LowerRequest) (*fgwire.LowerAnswer, error) {
+	units, err := s.entry.limits.holder.Lower(in.GetHolder(), in.GetLimit(), in.GetUnits(), in.GetLedgerRevision())
+	if err != nil {
+		return nil, err
+	}
+	return &fgwire.LowerAnswer{Units: units, LedgerRevision: in.GetLedgerRevision()}, nil
+}
--- a/internal/fgentry/peers.go
+++ b/internal/fgentry/peers.go
@@ -32,16 +32,17 @@
 }
 
 func (e *Entry) nodeState() *fgwire.NodeState {
-	return &fgwire.NodeState{
+	return e.limits.report(&fgwire.NodeState{
 		Incarnation:       e.incarnation.String(),
 		Vm:                e.settings.raw.VM,
 		ConfigGeneration:  e.config.Generation(),
 		MembersGeneration: e.members.Generation(),
-	}
+	})
 }
 
 func (e *Entry) hear(n *fgwire.NodeState) {
 	e.reports.Add(fgmember.NewReport(n.GetIncarnation(), n.GetConfigGeneration()))
+	e.limits.hear(n)
 }
 
 // exchangeLoop swaps states with all peers at each interval and at each change
