Guard borrowing, abandoned promises and allocations by tests

The fault tests passed with borrowing off, and with abandoned promises left in force, so each gets a test of its own.

--- a/internal/coordination/fgledger/fleet_test.go
+++ b/internal/coordination/fgledger/fleet_test.go
@@ -252,14 +252,18 @@
 	})
 }
 
+func (n *node) units(limit string) int64 {
+	n.Holder.mu.Lock()
+	defer n.Holder.mu.Unlock()
+	return n.state.Units(limit, testLimits.limits[limit].limit.Units())
+}
+
 // check fails when the processes that run can use more units than there are.
 func (f *fleet) check() {
 	var rate, slots int64
 	for _, n := range f.nodes {
-		n.Holder.mu.Lock()
-		rate += n.state.Units(rateName, smallRate.Units())
-		slots += n.state.Units(slotsName, slotCount)
-		n.Holder.mu.Unlock()
+		rate += n.units(rateName)
+		slots += n.units(slotsName)
 	}
 	if rate > smallRate.Units() || slots > slotCount {
 		f.t.Fatalf("%v: %d of %d units and %d of %d slots are usable", time.Since(f.start), rate, smallRate.Units(), slots, slotCount)
--- a/internal/coordination/fgledger/ledger_test.go
+++ b/internal/coordination/fgledger/ledger_test.go
@@ -1,7 +1,9 @@
 package fgledger
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,3 +157,58 @@
 }
 
 func both(a, b func(*fleet)) func(*fleet) { return func(f *fleet) { a(f); b(f) } }
+
+// Guards against an outage of the platform that ties a workspace to the VMs
+// that held its units when it began.
+func TestBorrowingServesMovedCallersDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, end := newFleet(t)
+		defer end()
+		send := func(vm int) (refused int) {
+			for range 400 {
+				time.Sleep(125 * time.Millisecond)
+				if !f.request(vm) {
+					refused++
+				}
+			}
+			return refused
+		}
+		send(2)
+		f.platform.SetFaults(fgstandin.Faults{Down: true})
+		refused := send(5)
+		t.Logf("of 400 requests at 8/s through a VM without units, %d were refused", refused)
+		if refused > 20 {
+			t.Errorf("%d of 400 requests were refused", refused)
+		}
+	})
+}
+
+// Guards against units that stay unused after a keeper collected a promise and
+// ended before its write.
+func TestNewKeeperEndsPromisesWithoutWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, end := newFleet(t)
+		defer end()
+		keeper := slices.MinFunc(f.nodes, func(a, b *node) int {
+			return cmp.Compare(hash(a.self.Incarnation), hash(b.self.Incarnation))
+		})
+		i := 0
+		if f.nodes[i] == keeper {
+			i = 1
+		}
+		holder := f.nodes[i]
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			f.request(i)
+		}
+		before := holder.units(rateName)
+		keeper.paused.Store(true)
+		if _, err := holder.Holder.Lower(holder.self.Incarnation, rateName, 0, holder.Revision()); err != nil || holder.units(rateName) != 0 {
+			t.Fatalf("not lowered: %v", err)
+		}
+		time.Sleep(5 * time.Second)
+		if after := holder.units(rateName); before < 500 || after < 500 {
+			t.Errorf("the holder has %d units, %d before", after, before)
+		}
+	})
+}
--- a/internal/fgentry/limits_test.go
+++ b/internal/fgentry/limits_test.go
@@ -114,3 +114,20 @@
 		}
 	})
 }
+
+// Guards against allocations in the admission of a request.
+func TestAdmissionAllocatesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const name = "a-workspace-with-a-name-of-more-than-32-bytes"
+		e, end := startLimits(t, resource(name, &fgapi.WorkspaceSpec{RequestsPerSecond: 1_000_000, Burst: 1_000_000}, fgapi.KindWorkspace))
+		defer end()
+		time.Sleep(2 * time.Second)
+		ctx, c := t.Context(), &call{workspace: name}
+		if n := testing.AllocsPerRun(1000, func() { _ = e.admitWorkspace(ctx, c) }); n != 0 {
+			t.Errorf("an admission allocates %v times", n)
+		}
+		if err := e.admitWorkspace(ctx, c); err != nil {
+			t.Error(err)
+		}
+	})
+}
