Merge shares of limits

Joined with the request path: a call that waited more than 100 ms between its token and its sending gives the token back before it takes a new one, so that a wait in the queue is not charged twice. The placement reads this VM's slots from the ledger.

--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -50,6 +50,7 @@
 	upstreams   *fgupstream.Client
 	metrics     *fgmetrics.Metrics
 	placer      *fgplacement.Placer
+	limits      *limits
 	requests
 	listeners listeners
 }
@@ -77,6 +78,7 @@
 		metrics:   fgmetrics.New(),
 	}
 	e.placer = newPlacer(e)
+	e.limits = newLimits(e, store)
 	return e
 }
 
--- a/internal/fgentry/peers.go
+++ b/internal/fgentry/peers.go
@@ -39,12 +39,13 @@
 		MembersGeneration: e.members.Generation(),
 	}
 	e.reportPlacement(n)
-	return n
+	return e.limits.report(n)
 }
 
 func (e *Entry) hear(n *fgwire.NodeState) {
 	e.reports.Add(fgmember.NewReport(n.GetIncarnation(), n.GetConfigGeneration()))
 	e.hearPlacement(n)
+	e.limits.hear(n)
 }
 
 // exchangeLoop swaps states with all peers at each interval and at each change
--- a/internal/fgentry/placement.go
+++ b/internal/fgentry/placement.go
@@ -97,10 +97,14 @@
 	return c.entry.admitRegionalCap(ctx, from, to)
 }
 
-// permitUnits returns the number of an upstream's slots that this VM owns. The
-// declared slots stand in for it until the share ledger is asked; the permits
-// themselves are always taken with acquirePermit.
-func (e *Entry) permitUnits(u *fgconfig.Upstream) int64 { return u.Spec().Slots }
+// permitUnits returns the number of an upstream's slots that this VM owns.
+func (e *Entry) permitUnits(u *fgconfig.Upstream) int64 {
+	s := e.limits.holder.Slots(e.limits.names.Load().slots[u.Name()])
+	if s == nil {
+		return 0
+	}
+	return s.Units()
+}
 
 func newPlacer(e *Entry) *fgplacement.Placer {
 	return fgplacement.New(fgplacement.Options{
--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -201,7 +201,13 @@
 // readmit guards against a process that was paused after it admitted a call:
 // the token is then too old, and the key may have been withdrawn.
 func (e *Entry) readmit(ctx context.Context, c *call) error {
-	if sinceEither(c.admittedAt) <= maxAdmissionAge {
+	limit := maxAdmissionAge
+	if c.hop == hopPlace {
+		// The workspace's token was taken by the VM that forwarded the call. It
+		// is replaced here only after more than the peer's queue may add.
+		limit += maxAdmissionAge
+	}
+	if sinceEither(c.admittedAt) <= limit {
 		return nil
 	}
 	if c.key != nil {
@@ -213,6 +219,9 @@
 			return keyInvalid()
 		}
 	}
+	if c.hop != hopPlace {
+		e.refundWorkspace(c)
+	}
 	if err := e.admitWorkspace(ctx, c); err != nil {
 		return beforeSending(ctx, err)
 	}
