Compact journals and copy them from peers

Only install moves a replica, and only to a newer revision with a newer generation. A read older than what the replica knows does not count as an answer. - Check validates what a change touches and what refers to what it removes.

--- a/internal/coordination/fgmember/member.go
+++ b/internal/coordination/fgmember/member.go
@@ -7,18 +7,12 @@
 	"maps"
 	"slices"
 	"strings"
-	"sync"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/filbertgap/filbertgap/internal/state/fgjournal"
 )
 
-// AliveTimeout is how long after its last message a member counts as alive for
-// steering. Messages arrive every 500 ms.
-const AliveTimeout = 2 * time.Second
-
 // ErrReplaced means that another process has registered under the VM's name.
 var ErrReplaced = merry.Sentinel("another process has registered for this VM")
 
@@ -31,6 +25,9 @@
 	CallerAddress    string `json:"callerAddress"`
 	PeerAddress      string `json:"peerAddress"`
 	Leaving          bool   `json:"leaving,omitempty"`
+	// Contact means that the process watches the platform and accepts operators'
+	// changes.
+	Contact bool `json:"contact,omitempty"`
 }
 
 // Change is the payload of one entry of the member journal.
@@ -42,7 +39,9 @@
 // Set is an immutable set of members by VM name.
 type Set struct {
 	members map[string]Member
-	sorted  []Member
+	// byIncarnation holds VM names.
+	byIncarnation map[string]string
+	sorted        []Member
 }
 
 // EmptySet returns a set without members.
@@ -56,12 +55,22 @@
 
 // ByIncarnation returns the member with an incarnation.
 func (s *Set) ByIncarnation(incarnation string) (Member, bool) {
+	vm, ok := s.byIncarnation[incarnation]
+	if !ok {
+		return Member{}, false
+	}
+	return s.Member(vm)
+}
+
+// Contacts returns the members that watch the platform, by VM name.
+func (s *Set) Contacts() []Member {
+	var out []Member
 	for _, m := range s.sorted {
-		if m.Incarnation == incarnation {
-			return m, true
+		if m.Contact {
+			out = append(out, m)
 		}
 	}
-	return Member{}, false
+	return out
 }
 
 // All returns the members by VM name. The slice must not be modified.
@@ -83,93 +92,30 @@
 	for _, vm := range c.Remove {
 		delete(members, vm)
 	}
-	sorted := slices.SortedFunc(maps.Values(members), func(a, b Member) int { return strings.Compare(a.VM, b.VM) })
-	return &Set{members: members, sorted: sorted}, nil
-}
-
-// Report is what a member last said about itself.
-type Report struct {
-	incarnation      string
-	configGeneration uint64
-	heardAt          time.Time
-}
-
-// NewReport returns a report heard now.
-func NewReport(incarnation string, configGeneration uint64) Report {
-	return Report{incarnation: incarnation, configGeneration: configGeneration, heardAt: time.Now()}
-}
-
-// ConfigGeneration returns the configuration generation that the member applies.
-func (r Report) ConfigGeneration() uint64 { return r.configGeneration }
-
-// Reports collects the latest report of each member. The zero value is empty.
-type Reports struct {
-	mu     sync.Mutex
-	latest map[string]Report
+	return newSet(members), nil
 }
 
-// Add keeps a report unless a newer one of the same process is known.
-func (r *Reports) Add(report Report) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.latest == nil {
-		r.latest = map[string]Report{}
+func newSet(members map[string]Member) *Set {
+	s := &Set{members: members, byIncarnation: make(map[string]string, len(members))}
+	for _, m := range members {
+		s.byIncarnation[m.Incarnation] = m.VM
 	}
-	old := r.latest[report.incarnation]
-	if report.configGeneration < old.configGeneration {
-		report.configGeneration = old.configGeneration
-	}
-	r.latest[report.incarnation] = report
+	s.sorted = slices.SortedFunc(maps.Values(members), func(a, b Member) int { return strings.Compare(a.VM, b.VM) })
+	return s
 }
 
-// Get returns the latest report of a process.
-func (r *Reports) Get(incarnation string) (Report, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	report, ok := r.latest[incarnation]
-	return report, ok
-}
+// Dump writes a set for Load.
+func Dump(s *Set) ([]byte, error) { return json.Marshal(s.sorted) }
 
-// Alive reports whether a process was heard within AliveTimeout.
-func (r *Reports) Alive(incarnation string) bool {
-	report, ok := r.Get(incarnation)
-	return ok && time.Since(report.heardAt) <= AliveTimeout
-}
-
-// Build makes the payload of a change from the members in force.
-type Build func(*Set) (json.RawMessage, error)
-
-// BuildRegister returns a payload builder that registers a member. It replaces
-// an earlier process of the same VM.
-func BuildRegister(m Member) Build {
-	return func(*Set) (json.RawMessage, error) { return json.Marshal(Change{Put: []Member{m}}) }
-}
-
-// BuildLeave returns a payload builder that marks a member as leaving.
-func BuildLeave(m Member) Build {
-	return func(s *Set) (json.RawMessage, error) {
-		if err := checkOwner(s, m); err != nil {
-			return nil, err
-		}
-		m.Leaving = true
-		return json.Marshal(Change{Put: []Member{m}})
-	}
-}
-
-// BuildRemove returns a payload builder that removes a member.
-func BuildRemove(m Member) Build {
-	return func(s *Set) (json.RawMessage, error) {
-		if err := checkOwner(s, m); err != nil {
-			return nil, err
-		}
-		return json.Marshal(Change{Remove: []string{m.VM}})
+// Load reads a set that Dump wrote.
+func Load(data []byte) (*Set, error) {
+	var list []Member
+	if err := json.Unmarshal(data, &list); err != nil {
+		return nil, err
 	}
-}
-
-func checkOwner(s *Set, m Member) error {
-	current, ok := s.Member(m.VM)
-	if !ok || current.Incarnation != m.Incarnation {
-		return merry.Wrap(ErrReplaced)
+	members := make(map[string]Member, len(list))
+	for _, m := range list {
+		members[m.VM] = m
 	}
-	return nil
+	return newSet(members), nil
 }
--- a/internal/coordination/fgstore/store.go
+++ b/internal/coordination/fgstore/store.go
@@ -19,6 +19,8 @@
 	ErrConflict = merry.Sentinel("revision conflict")
 	// ErrUnknown means that the answer was lost: the call may have taken effect.
 	ErrUnknown = merry.Sentinel("no answer from the platform")
+	// ErrTooLarge means that a value exceeds MaxValueBytes.
+	ErrTooLarge = merry.Sentinel("the value is too large for the platform")
 	// ErrUnavailable means that the call did not take effect.
 	ErrUnavailable = merry.Sentinel("the platform refuses calls")
 )
@@ -42,6 +44,8 @@
 	// Watch waits until the key's revision exceeds after and returns its value.
 	// It returns ErrNotFound when the service has answered that nothing changed.
 	Watch(ctx context.Context, key string, after uint64) (Value, error)
+	// Range returns the keys with a prefix, in order. It may be stale.
+	Range(ctx context.Context, prefix string) ([]string, error)
 }
 
 // VMState tells whether a listed VM stays.
--- a/internal/coordination/fgsync/replica.go
+++ b/internal/coordination/fgsync/replica.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -17,15 +16,33 @@
 	"github.com/filbertgap/filbertgap/internal/state/fgjournal"
 )
 
-const (
-	// maxSubmitTries bounds the compare-and-swap attempts of one change.
-	maxSubmitTries = 20
-	// watchRetryDelay separates watch calls after an error.
-	watchRetryDelay = 200 * time.Millisecond
+// Sentinel errors of a Replica.
+var (
+	// ErrBusy means that a change lost the race for the journal too often.
+	ErrBusy = merry.Sentinel("too many concurrent changes")
+	// ErrReverted means that the platform holds an older generation under a newer
+	// revision, which a replica never follows.
+	ErrReverted = merry.Sentinel("the stored journal has gone back")
+	// ErrGap means that entries are missing between a replica and a copy.
+	ErrGap = merry.Sentinel("entries are missing")
+	// ErrNoChange is returned by a build function when nothing needs to change.
+	ErrNoChange = merry.Sentinel("nothing to change")
 )
 
-// ErrBusy means that a change lost the race for the journal too often.
-var ErrBusy = merry.Sentinel("too many concurrent changes")
+// Answer says what a call to the platform showed.
+type Answer int
+
+// The answers of the platform.
+const (
+	// AnswerNone means that the platform did not answer or refused the call.
+	AnswerNone Answer = iota
+	// AnswerReached means that the platform answered, but not with a value that
+	// is at least as new as what the replica knows.
+	AnswerReached
+	// AnswerCurrent means that the replica held the newest value at some moment
+	// after the call was sent.
+	AnswerCurrent
+)
 
 // Options configures a Replica of a document with state S.
 type Options[S any] struct {
@@ -33,8 +50,17 @@
 	Key     string
 	Initial S
 	// Apply returns the state after an entry. It must not modify its argument.
-	Apply  func(S, fgjournal.Entry) (S, error)
-	Logger logr.Logger
+	Apply func(S, fgjournal.Entry) (S, error)
+	// Dump and Load write and read a state as a snapshot.
+	Dump func(S) ([]byte, error)
+	Load func([]byte) (S, error)
+	// Active reports whether this process follows the platform itself. Nil means
+	// that it does.
+	Active func() bool
+	// Observe receives the answers of the platform with the time at which the
+	// call was sent. Nil ignores them.
+	Observe func(sent time.Time, a Answer)
+	Logger  logr.Logger
 }
 
 // Replica is a copy of a journal. Its state only moves to higher generations.
@@ -44,38 +70,33 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
-	contact atomic.Int64
 }
 
 type version[S any] struct {
 	state    S
 	head     fgjournal.Head
 	revision uint64
+	dump     func() ([]byte, error)
 }
 
 // NewReplica returns a replica at generation 0.
 func NewReplica[S any](o Options[S]) *Replica[S] {
 	r := &Replica[S]{options: o, changed: make(chan struct{})}
-	r.current.Store(&version[S]{state: o.Initial})
+	r.current.Store(r.newVersion(o.Initial, fgjournal.Head{}, 0))
 	return r
 }
 
+func (r *Replica[S]) newVersion(state S, head fgjournal.Head, revision uint64) *version[S] {
+	dump := sync.OnceValues(func() ([]byte, error) { return r.options.Dump(state) })
+	return &version[S]{state: state, head: head, revision: revision, dump: dump}
+}
+
 // State returns the state in force.
 func (r *Replica[S]) State() S { return r.current.Load().state }
 
 // Generation returns the generation in force.
 func (r *Replica[S]) Generation() uint64 { return r.current.Load().head.Generation }
 
-// LastContact returns when the call was sent to which the platform last
-// answered, or the zero time.
-func (r *Replica[S]) LastContact() time.Time {
-	n := r.contact.Load()
-	if n == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, n)
-}
-
 // Changed returns a channel that is closed at the next change.
 func (r *Replica[S]) Changed() <-chan struct{} {
 	r.mu.Lock()
@@ -83,122 +104,82 @@
 	return r.changed
 }
 
-// Run follows the platform until the context ends.
-func (r *Replica[S]) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if err := r.follow(ctx); err != nil && ctx.Err() == nil {
-			r.options.Logger.V(1).Info("watch failed", "journal", r.options.Key, "error", err.Error())
-			sleep(ctx, watchRetryDelay)
-		}
-	}
-	return ctx.Err()
+// base is a state that a copy came with, for replicas that lack entries.
+type base[S any] struct {
+	state      S
+	generation uint64
 }
 
-func (r *Replica[S]) follow(ctx context.Context) error {
-	start := time.Now()
-	v, err := r.options.Store.Watch(ctx, r.options.Key, r.current.Load().revision)
-	if errors.Is(err, fgstore.ErrNotFound) {
-		r.contact.Store(start.UnixNano())
+// absorb moves the replica forward to a stored value. Older values are ignored.
+func (r *Replica[S]) absorb(ctx context.Context, v fgstore.Value) error {
+	if v.Revision <= r.current.Load().revision {
 		return nil
 	}
-	if err != nil {
-		return err
+	var head fgjournal.Head
+	if err := json.Unmarshal(v.Data, &head); err != nil {
+		return fmt.Errorf("journal %s, revision %d: %w", r.options.Key, v.Revision, err)
 	}
-	r.contact.Store(start.UnixNano())
-	return r.absorb(v)
-}
-
-// Refresh reads the platform's value once.
-func (r *Replica[S]) Refresh(ctx context.Context) error {
-	v, err := r.options.Store.Get(ctx, r.options.Key)
-	if errors.Is(err, fgstore.ErrNotFound) {
-		return nil
+	if !head.Valid() {
+		return fmt.Errorf("journal %s, revision %d: %w", r.options.Key, v.Revision, ErrGap)
 	}
-	if err != nil {
-		return err
+	var from *base[S]
+	if _, ok := head.Since(r.Generation()); !ok && head.Snapshot != nil {
+		state, err := r.loadSnapshot(ctx, *head.Snapshot)
+		if err != nil {
+			return fmt.Errorf("journal %s, snapshot %s: %w", r.options.Key, head.Snapshot.ID, err)
+		}
+		from = &base[S]{state: state, generation: head.Snapshot.Generation}
 	}
-	return r.absorb(v)
+	return r.install(head, v.Revision, from)
 }
 
-// absorb moves the replica forward to a stored value. Older values are ignored.
-func (r *Replica[S]) absorb(v fgstore.Value) error {
-	var head fgjournal.Head
-	if err := json.Unmarshal(v.Data, &head); err != nil {
-		return fmt.Errorf("journal %s, revision %d: %w", r.options.Key, v.Revision, err)
-	}
+// install is the only place where the replica moves. It accepts a head only
+// with both a newer revision and a newer generation.
+func (r *Replica[S]) install(head fgjournal.Head, revision uint64, from *base[S]) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	current := r.current.Load()
-	if v.Revision <= current.revision {
+	switch {
+	case revision <= current.revision:
+		return nil
+	case head.Generation < current.head.Generation:
+		return fmt.Errorf("journal %s: %w from generation %d to %d", r.options.Key, ErrReverted, current.head.Generation, head.Generation)
+	case head.Generation == current.head.Generation:
+		r.current.Store(&version[S]{state: current.state, head: head, revision: revision, dump: current.dump})
 		return nil
 	}
-	entries, ok := head.Since(current.head.Generation)
-	if !ok {
-		return fmt.Errorf("journal %s lacks the entries after generation %d", r.options.Key, current.head.Generation)
-	}
-	state := current.state
-	for _, e := range entries {
-		next, err := r.options.Apply(state, e)
-		if err != nil {
-			return fmt.Errorf("journal %s, generation %d: %w", r.options.Key, e.Generation, err)
-		}
-		state = next
+	state, err := r.advance(current, head, from)
+	if err != nil {
+		return err
 	}
-	r.current.Store(&version[S]{state: state, head: head, revision: v.Revision})
+	r.current.Store(r.newVersion(state, head, revision))
 	close(r.changed)
 	r.changed = make(chan struct{})
 	return nil
 }
 
-// Submit appends a change and returns its generation. It builds the payload
-// from the newest state, again after each lost race. A change id that the
-// journal already holds is not appended twice.
-func (r *Replica[S]) Submit(ctx context.Context, changeID string, build func(S) (json.RawMessage, error)) (uint64, error) {
-	for range maxSubmitTries {
-		if err := r.Refresh(ctx); err != nil {
-			return 0, err
-		}
-		base := r.current.Load()
-		if g, ok := base.head.Find(changeID); ok {
-			return g, nil
-		}
-		payload, err := build(base.state)
-		if err != nil {
-			return 0, err
-		}
-		generation, err := r.swap(ctx, base, changeID, payload)
-		switch {
-		case err == nil:
-			return generation, nil
-		case errors.Is(err, fgstore.ErrConflict), errors.Is(err, fgstore.ErrUnknown):
-			// The write may have taken effect or may still do so. The next try
-			// finds it by its change id, or fails the swap of one of the two.
-			continue
-		default:
-			return 0, err
-		}
+func (r *Replica[S]) advance(current *version[S], head fgjournal.Head, from *base[S]) (S, error) {
+	state := current.state
+	entries, ok := head.Since(current.head.Generation)
+	if !ok && from != nil {
+		state = from.state
+		entries, ok = head.Since(from.generation)
 	}
-	return 0, merry.Wrap(ErrBusy)
-}
-
-func (r *Replica[S]) swap(ctx context.Context, base *version[S], changeID string, payload json.RawMessage) (uint64, error) {
-	head := base.head.Append(changeID, payload)
-	data, err := json.Marshal(head)
-	if err != nil {
-		return 0, err
+	if !ok {
+		return state, fmt.Errorf("journal %s: %w after generation %d", r.options.Key, ErrGap, current.head.Generation)
 	}
-	revision, err := r.options.Store.CompareAndSwap(ctx, r.options.Key, base.revision, data)
-	if err != nil {
-		return 0, err
+	for _, e := range entries {
+		next, err := r.options.Apply(state, e)
+		if err != nil {
+			return state, fmt.Errorf("journal %s, generation %d: %w", r.options.Key, e.Generation, err)
+		}
+		state = next
 	}
-	return head.Generation, r.absorb(fgstore.Value{Key: r.options.Key, Data: data, Revision: revision})
+	return state, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+func (r *Replica[S]) observe(sent time.Time, a Answer) {
+	if r.options.Observe != nil {
+		r.options.Observe(sent, a)
 	}
 }
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -60,10 +60,10 @@
 		logger:      logger,
 		incarnation: fgrequest.NewIncarnation(),
 		config: fgsync.NewReplica(fgsync.Options[*fgconfig.Snapshot]{
-			Store: store, Key: configKey, Initial: fgconfig.Empty(), Apply: fgconfig.Apply, Logger: logger,
+			Store: store, Key: configKey, Initial: fgconfig.Empty(), Apply: fgconfig.Apply, Dump: fgconfig.Dump, Load: fgconfig.Load, Logger: logger,
 		}),
 		members: fgsync.NewReplica(fgsync.Options[*fgmember.Set]{
-			Store: store, Key: membersKey, Initial: fgmember.EmptySet(), Apply: fgmember.Apply, Logger: logger,
+			Store: store, Key: membersKey, Initial: fgmember.EmptySet(), Apply: fgmember.Apply, Dump: fgmember.Dump, Load: fgmember.Load, Logger: logger,
 		}),
 		dialer:    fgpeer.NewDialer(s.fleetSecret),
 		upstreams: fgupstream.New(),
--- a/internal/fgstandin/platform.go
+++ b/internal/fgstandin/platform.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +28,16 @@
 	// StaleReads is the number of coming reads that return the value before
 	// the newest one.
 	StaleReads int `json:"staleReads"`
+	// DelayWrites is the number of coming writes whose answers are lost and that
+	// take effect, if they still can, only DelayWriteMillis later.
+	DelayWrites      int   `json:"delayWrites"`
+	DelayWriteMillis int64 `json:"delayWriteMillis"`
+	// LateWatchMillis delays the events of watches, in milliseconds.
+	LateWatchMillis int64 `json:"lateWatchMillis"`
+	// WritesPerSecond and ReadsPerSecond refuse calls above a rate. Zero means no
+	// limit.
+	WritesPerSecond int `json:"writesPerSecond"`
+	ReadsPerSecond  int `json:"readsPerSecond"`
 }
 
 // Platform is an in-memory key-value service and VM list. The zero value is
@@ -40,8 +51,37 @@
 	vms      []fgstore.VM
 	faults   Faults
 	calls    uint64
+	reads    window
+	writes   window
+	leases   map[uint64]*lease
+	lastID   uint64
 }
 
+// window counts the calls of one second.
+type window struct {
+	begin time.Time
+	count int
+}
+
+// exceeds counts a call and reports whether it is above the rate.
+func (w *window) exceeds(perSecond int) bool {
+	if perSecond == 0 {
+		return false
+	}
+	if time.Since(w.begin) >= time.Second {
+		*w = window{begin: time.Now()}
+	}
+	w.count++
+	return w.count > perSecond
+}
+
+type callKind int
+
+const (
+	readCall callKind = iota
+	writeCall
+)
+
 var (
 	_ fgstore.Store    = (*Platform)(nil)
 	_ fgstore.VMLister = (*Platform)(nil)
@@ -71,7 +111,7 @@
 
 // ListVMs returns the VM list.
 func (p *Platform) ListVMs(ctx context.Context) ([]fgstore.VM, error) {
-	if _, err := p.enter(ctx); err != nil {
+	if _, err := p.enter(ctx, readCall); err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
@@ -81,7 +121,7 @@
 
 // Get returns a value.
 func (p *Platform) Get(ctx context.Context, key string) (fgstore.Value, error) {
-	if _, err := p.enter(ctx); err != nil {
+	if _, err := p.enter(ctx, readCall); err != nil {
 		return fgstore.Value{}, err
 	}
 	p.mu.Lock()
@@ -99,13 +139,20 @@
 
 // CompareAndSwap writes a value.
 func (p *Platform) CompareAndSwap(ctx context.Context, key string, expected uint64, data []byte) (uint64, error) {
-	if _, err := p.enter(ctx); err != nil {
+	if len(data) > fgstore.MaxValueBytes {
+		return 0, fgstore.ErrTooLarge
+	}
+	if _, err := p.enter(ctx, writeCall); err != nil {
 		return 0, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	old := p.values[key]
-	if old.Revision != expected {
+	if p.faults.DelayWrites > 0 {
+		p.faults.DelayWrites--
+		time.AfterFunc(time.Duration(p.faults.DelayWriteMillis)*time.Millisecond, func() { p.writeLate(key, expected, data) })
+		return 0, fgstore.ErrUnknown
+	}
+	if p.values[key].Revision != expected {
 		return 0, fgstore.ErrConflict
 	}
 	p.write(fgstore.Value{Key: key, Data: slices.Clone(data)})
@@ -115,9 +162,26 @@
 	return p.revision, nil
 }
 
+// Range returns the keys with a prefix, in order.
+func (p *Platform) Range(ctx context.Context, prefix string) ([]string, error) {
+	if _, err := p.enter(ctx, readCall); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	keys := []string{}
+	for k := range p.values {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	return keys, nil
+}
+
 // Delete removes a value.
 func (p *Platform) Delete(ctx context.Context, key string, expected uint64) error {
-	if _, err := p.enter(ctx); err != nil {
+	if _, err := p.enter(ctx, writeCall); err != nil {
 		return err
 	}
 	p.mu.Lock()
@@ -137,20 +201,20 @@
 
 // Watch waits for a revision of a key above after.
 func (p *Platform) Watch(ctx context.Context, key string, after uint64) (fgstore.Value, error) {
-	if _, err := p.enter(ctx); err != nil {
+	if _, err := p.enter(ctx, readCall); err != nil {
 		return fgstore.Value{}, err
 	}
 	for {
 		p.mu.Lock()
 		v, ok := p.values[key]
-		down := p.faults.Down
+		f := p.faults
 		wait := p.wait()
 		p.mu.Unlock()
-		if down {
+		if f.Down {
 			return fgstore.Value{}, fgstore.ErrUnavailable
 		}
 		if ok && v.Revision > after {
-			return v, nil
+			return v, pause(ctx, time.Duration(f.LateWatchMillis)*time.Millisecond)
 		}
 		select {
 		case <-ctx.Done():
@@ -161,30 +225,54 @@
 }
 
 // enter counts a call and applies the faults that hit it before its effect.
-func (p *Platform) enter(ctx context.Context) (Faults, error) {
+func (p *Platform) enter(ctx context.Context, kind callKind) (Faults, error) {
 	p.mu.Lock()
 	p.calls++
 	f := p.faults
+	refused := f.Down
+	if kind == writeCall {
+		refused = refused || p.writes.exceeds(f.WritesPerSecond)
+	} else {
+		refused = refused || p.reads.exceeds(f.ReadsPerSecond)
+	}
 	p.mu.Unlock()
-	if f.Down {
+	if refused {
 		return f, fgstore.ErrUnavailable
 	}
 	if f.Silent {
 		<-ctx.Done()
 		return f, fgstore.ErrUnknown
 	}
-	if f.DelayMillis > 0 {
-		t := time.NewTimer(time.Duration(f.DelayMillis) * time.Millisecond)
-		defer t.Stop()
-		select {
-		case <-ctx.Done():
-			return f, fgstore.ErrUnknown
-		case <-t.C:
-		}
+	if err := pause(ctx, time.Duration(f.DelayMillis)*time.Millisecond); err != nil {
+		return f, fgstore.ErrUnknown
 	}
 	return f, nil
 }
 
+// pause waits, or returns the context's error.
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// writeLate applies a write whose answer was lost, if its revision still holds.
+func (p *Platform) writeLate(key string, expected uint64, data []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.values[key].Revision == expected {
+		p.write(fgstore.Value{Key: key, Data: slices.Clone(data)})
+	}
+}
+
 func (p *Platform) write(v fgstore.Value) {
 	if p.values == nil {
 		p.values = map[string]fgstore.Value{}
--- a/internal/fgstandin/platformhttp.go
+++ b/internal/fgstandin/platformhttp.go
@@ -26,6 +26,9 @@
 	r.PUT("/kv/*key", p.handleSwap)
 	r.DELETE("/kv/*key", p.handleDelete)
 	r.GET("/watch/*key", p.handleWatch)
+	r.GET("/range/*prefix", p.handleRange)
+	r.POST("/lease", p.handleGrant)
+	r.PUT("/lease/:id", p.handleKeepAlive)
 	r.GET("/vms", p.handleListVMs)
 	r.PUT("/control/vms", p.handleSetVMs)
 	r.PUT("/control/faults", p.handleSetFaults)
@@ -85,6 +88,32 @@
 	respond(w, v, err)
 }
 
+func (p *Platform) handleRange(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	keys, err := p.Range(r.Context(), ps.ByName("prefix")[1:])
+	respond(w, keys, err)
+}
+
+func (p *Platform) handleGrant(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	ttl, err := time.ParseDuration(r.URL.Query().Get("ttl"))
+	if err != nil || ttl <= 0 {
+		http.Error(w, "ttl: accepted are durations above zero", http.StatusBadRequest)
+		return
+	}
+	id, err := p.Grant(r.Context(), ttl)
+	respond(w, struct {
+		ID uint64 `json:"id"`
+	}{id}, err)
+}
+
+func (p *Platform) handleKeepAlive(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	id, err := strconv.ParseUint(ps.ByName("id"), 10, 64)
+	if err != nil {
+		http.Error(w, "id: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	respond(w, struct{}{}, p.KeepAlive(r.Context(), id))
+}
+
 func (p *Platform) handleListVMs(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	vms, err := p.ListVMs(r.Context())
 	respond(w, vms, err)
@@ -119,6 +148,8 @@
 		http.Error(w, err.Error(), http.StatusNotFound)
 	case errors.Is(err, fgstore.ErrConflict):
 		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, fgstore.ErrTooLarge):
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	case errors.Is(err, fgstore.ErrUnavailable):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
--- a/internal/state/fgconfig/snapshot.go
+++ b/internal/state/fgconfig/snapshot.go
@@ -69,8 +69,12 @@
 	generation uint64
 	resources  *immutable.SortedMap[string, fgapi.Resource]
 	keys       *immutable.Map[string, *Key]
-	routes     []*Route
-	groups     map[string][]*Upstream
+	// referrers holds referrerKey(target, referrer) for each reference.
+	referrers *immutable.SortedMap[string, fgapi.Ref]
+	// routes holds the routes of each path prefix, by name.
+	routes *immutable.Map[string, []*Route]
+	// groups holds the upstreams of each group, by name.
+	groups *immutable.Map[string, []*Upstream]
 }
 
 // Empty returns the configuration at generation 0.
@@ -78,6 +82,9 @@
 	return &Snapshot{
 		resources: immutable.NewSortedMap[string, fgapi.Resource](nil),
 		keys:      immutable.NewMap[string, *Key](nil),
+		referrers: immutable.NewSortedMap[string, fgapi.Ref](nil),
+		routes:    immutable.NewMap[string, []*Route](nil),
+		groups:    immutable.NewMap[string, []*Upstream](nil),
 	}
 }
 
@@ -116,25 +123,30 @@
 func (s *Snapshot) Key(id string) (*Key, bool) { return s.keys.Get(id) }
 
 // Route returns the route with the longest prefix of whole path segments that
-// matches, or nil.
+// matches, or nil. Of two routes with one prefix, the first by name counts.
 func (s *Snapshot) Route(path string) *Route {
-	for _, r := range s.routes {
-		if matchesPrefix(path, r.spec.PathPrefix) {
-			return r
+	if r, ok := s.routes.Get(path); ok {
+		return r[0]
+	}
+	for i := len(path) - 1; i >= 0; i-- {
+		if path[i] != '/' {
+			continue
+		}
+		if r, ok := s.routes.Get(path[:i+1]); ok {
+			return r[0]
+		}
+		if r, ok := s.routes.Get(path[:i]); ok {
+			return r[0]
 		}
 	}
 	return nil
 }
 
-func matchesPrefix(path, prefix string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
-	}
-	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
-}
-
 // Upstreams returns the upstreams of a group. The slice must not be modified.
-func (s *Snapshot) Upstreams(group string) []*Upstream { return s.groups[group] }
+func (s *Snapshot) Upstreams(group string) []*Upstream {
+	upstreams, _ := s.groups.Get(group)
+	return upstreams
+}
 
 // Check reports whether a change applies to the snapshot: versions that it
 // names must match, and what remains must be valid.
@@ -151,7 +163,7 @@
 	if err := errors.Join(errs...); err != nil {
 		return err
 	}
-	return fgapi.Validate(s.with(c).All())
+	return s.with(c).validate(c)
 }
 
 func (s *Snapshot) checkVersion(r fgapi.Resource) error {
@@ -181,50 +193,68 @@
 	return next, nil
 }
 
-// with applies a change and rebuilds only the indexes of the kinds it touches.
+// with applies a change. Its cost depends on the change and on the groups and
+// prefixes that it touches, not on the number of resources.
 func (s *Snapshot) with(c Change) *Snapshot {
 	next := *s
-	touched := map[fgapi.Kind]bool{}
 	for _, r := range c.Put {
-		touched[r.Kind] = true
-		next.resources = next.resources.Set(r.Ref().String(), r)
-		if spec, ok := r.Spec.(*fgapi.KeySpec); ok {
-			next.keys = next.keys.Set(r.Metadata.Name, &Key{id: r.Metadata.Name, spec: spec})
-		}
+		next.remove(r.Ref())
+		next.add(r)
 	}
 	for _, ref := range c.Delete {
-		touched[ref.Kind] = true
-		next.resources = next.resources.Delete(ref.String())
-		if ref.Kind == fgapi.KindKey {
-			next.keys = next.keys.Delete(ref.Name)
-		}
+		next.remove(ref)
 	}
-	if touched[fgapi.KindRoute] {
-		next.routes = next.indexRoutes()
+	return &next
+}
+
+func (s *Snapshot) add(r fgapi.Resource) {
+	s.resources = s.resources.Set(r.Ref().String(), r)
+	for _, target := range references(r) {
+		s.referrers = s.referrers.Set(referrerKey(target, r.Ref()), r.Ref())
 	}
-	if touched[fgapi.KindUpstream] {
-		next.groups = next.indexUpstreams()
+	name := r.Metadata.Name
+	switch spec := r.Spec.(type) {
+	case *fgapi.KeySpec:
+		s.keys = s.keys.Set(name, &Key{id: name, spec: spec})
+	case *fgapi.RouteSpec:
+		s.routes = insert(s.routes, spec.PathPrefix, &Route{name: name, spec: spec}, (*Route).Name)
+	case *fgapi.UpstreamSpec:
+		s.groups = insert(s.groups, spec.Group, &Upstream{name: name, spec: spec}, (*Upstream).Name)
 	}
-	return &next
 }
 
-func (s *Snapshot) indexRoutes() []*Route {
-	var out []*Route
-	for _, r := range s.Resources(fgapi.KindRoute) {
-		if spec, ok := r.Spec.(*fgapi.RouteSpec); ok {
-			out = append(out, &Route{name: r.Metadata.Name, spec: spec})
-		}
+func (s *Snapshot) remove(ref fgapi.Ref) {
+	r, ok := s.Resource(ref)
+	if !ok {
+		return
+	}
+	s.resources = s.resources.Delete(ref.String())
+	for _, target := range references(r) {
+		s.referrers = s.referrers.Delete(referrerKey(target, ref))
+	}
+	switch spec := r.Spec.(type) {
+	case *fgapi.KeySpec:
+		s.keys = s.keys.Delete(ref.Name)
+	case *fgapi.RouteSpec:
+		s.routes = removeNamed(s.routes, spec.PathPrefix, ref.Name, (*Route).Name)
+	case *fgapi.UpstreamSpec:
+		s.groups = removeNamed(s.groups, spec.Group, ref.Name, (*Upstream).Name)
 	}
-	slices.SortStableFunc(out, func(a, b *Route) int { return len(b.spec.PathPrefix) - len(a.spec.PathPrefix) })
-	return out
 }
 
-func (s *Snapshot) indexUpstreams() map[string][]*Upstream {
-	out := map[string][]*Upstream{}
-	for _, r := range s.Resources(fgapi.KindUpstream) {
-		if spec, ok := r.Spec.(*fgapi.UpstreamSpec); ok {
-			out[spec.Group] = append(out[spec.Group], &Upstream{name: r.Metadata.Name, spec: spec})
-		}
+// insert puts a value into the list of a key, which is sorted by name.
+func insert[T any](m *immutable.Map[string, []T], key string, value T, name func(T) string) *immutable.Map[string, []T] {
+	old, _ := m.Get(key)
+	at, _ := slices.BinarySearchFunc(old, name(value), func(v T, n string) int { return strings.Compare(name(v), n) })
+	return m.Set(key, slices.Insert(slices.Clone(old), at, value))
+}
+
+// removeNamed removes a value from the list of a key.
+func removeNamed[T any](m *immutable.Map[string, []T], key, gone string, name func(T) string) *immutable.Map[string, []T] {
+	old, _ := m.Get(key)
+	kept := slices.DeleteFunc(slices.Clone(old), func(v T) bool { return name(v) == gone })
+	if len(kept) == 0 {
+		return m.Delete(key)
 	}
-	return out
+	return m.Set(key, kept)
 }
--- a/internal/transport/fgplatform/client.go
+++ b/internal/transport/fgplatform/client.go
@@ -81,6 +81,13 @@
 	return v, err
 }
 
+// Range returns the keys with a prefix.
+func (c *Client) Range(ctx context.Context, prefix string) ([]string, error) {
+	var keys []string
+	err := c.call(ctx, callTimeout, http.MethodGet, "/range/"+prefix, nil, &keys)
+	return keys, err
+}
+
 // ListVMs returns the VM list.
 func (c *Client) ListVMs(ctx context.Context) ([]fgstore.VM, error) {
 	var vms []fgstore.VM
@@ -124,7 +131,9 @@
 		return fgstore.ErrNotFound
 	case http.StatusConflict:
 		return fgstore.ErrConflict
-	case http.StatusServiceUnavailable:
+	case http.StatusRequestEntityTooLarge:
+		return fgstore.ErrTooLarge
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		return fgstore.ErrUnavailable
 	default:
 		return fmt.Errorf("%w: status %d", fgstore.ErrUnknown, status)
