--- a/internal/fgcommand/entry.go
+++ b/internal/fgcommand/entry.go
@@ -30,7 +30,7 @@
 				_, err := fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
 				return err
 			}
-			e := fgentry.New(settings, client, newLogger(cmd.ErrOrStderr()))
+			e := fgentry.New(settings, client, client, newLogger(cmd.ErrOrStderr()))
 			if err := e.Listen(); err != nil {
 				return err
 			}
@@ -46,6 +46,7 @@
 	f.StringVar(&raw.CallerAdvertise, "caller-advertise", "", "address that callers are told to use (default: the listening address)")
 	f.StringVar(&raw.PeerListen, "peer-listen", "127.0.0.1:8081", "address for other entry processes")
 	f.StringVar(&raw.PeerAdvertise, "peer-advertise", "", "address that other entry processes are told to use (default: the listening address)")
+	f.StringSliceVar(&raw.PeerSeeds, "peer-seeds", nil, "peer addresses of other VMs, asked for the state while the platform does not answer")
 	f.StringVar(&raw.OperatorListen, "operator-listen", "127.0.0.1:8082", "address for operators")
 	f.StringVar(&raw.MetricsListen, "metrics-listen", "127.0.0.1:8083", "address for metrics and health checks")
 	f.StringVar(&raw.Platform, "platform", "", "base URL of the platform's key-value service")
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -30,10 +32,8 @@
 	readHeaderTimeout = 10 * time.Second
 	// maxHeaderBytes bounds a caller's header.
 	maxHeaderBytes = 64 << 10
-	// registerRetryDelay separates attempts to register with the platform.
-	registerRetryDelay = 500 * time.Millisecond
-	// deregisterTimeout bounds the last writes of a stopping process.
-	deregisterTimeout = 2 * time.Second
+	// tellTimeout bounds how long a leaving process tries to tell its neighbours.
+	tellTimeout = time.Second
 )
 
 // Entry is one entry process.
@@ -47,6 +47,20 @@
 	dialer      *fgpeer.Dialer
 	upstreams   *fgupstream.Client
 	listeners   listeners
+	lister      fgstore.VMLister
+	fresh       *freshness
+	inFlight    inFlight
+	inForce     inForce
+	asked       asked
+	// peer returns a client of the process at an address.
+	peer func(ctx context.Context, address string) fgwire.DRPCPeerClient
+	// news holds the states of calling peers that have something newer.
+	news chan *fgwire.NodeState
+	// leaving is set when the graceful stop begins. told is closed when the
+	// platform asks for it.
+	leaving   atomic.Bool
+	leaveOnce sync.Once
+	told      chan struct{}
 }
 
 type listeners struct {
@@ -54,20 +68,32 @@
 }
 
 // New returns an entry that uses a platform. Nothing runs before Run.
-func New(s Settings, store fgstore.Store, logger logr.Logger) *Entry {
-	return &Entry{
+func New(s Settings, store fgstore.Store, lister fgstore.VMLister, logger logr.Logger) *Entry {
+	e := &Entry{
 		settings:    s,
 		logger:      logger,
 		incarnation: fgrequest.NewIncarnation(),
-		config: fgsync.NewReplica(fgsync.Options[*fgconfig.Snapshot]{
-			Store: store, Key: configKey, Initial: fgconfig.Empty(), Apply: fgconfig.Apply, Dump: fgconfig.Dump, Load: fgconfig.Load, Logger: logger,
-		}),
-		members: fgsync.NewReplica(fgsync.Options[*fgmember.Set]{
-			Store: store, Key: membersKey, Initial: fgmember.EmptySet(), Apply: fgmember.Apply, Dump: fgmember.Dump, Load: fgmember.Load, Logger: logger,
-		}),
-		dialer:    fgpeer.NewDialer(s.fleetSecret),
-		upstreams: fgupstream.New(),
+		dialer:      fgpeer.NewDialer(s.fleetSecret),
+		upstreams:   fgupstream.New(),
+		lister:      lister,
+		fresh:       newFreshness(),
+		news:        make(chan *fgwire.NodeState, fetchQueue),
+		told:        make(chan struct{}),
 	}
+	e.peer = func(ctx context.Context, address string) fgwire.DRPCPeerClient {
+		return fgwire.NewDRPCPeerClient(e.dialer.RPC(ctx, address))
+	}
+	e.config = fgsync.NewReplica(fgsync.Options[*fgconfig.Snapshot]{
+		Store: store, Key: configKey, Initial: fgconfig.Empty(),
+		Apply: fgconfig.Apply, Dump: fgconfig.Dump, Load: fgconfig.Load,
+		Active: e.followsPlatform, Observe: e.observePlatform, Logger: logger,
+	})
+	e.members = fgsync.NewReplica(fgsync.Options[*fgmember.Set]{
+		Store: store, Key: membersKey, Initial: fgmember.EmptySet(),
+		Apply: fgmember.Apply, Dump: fgmember.Dump, Load: fgmember.Load,
+		Active: e.followsPlatform, Logger: logger,
+	})
+	return e
 }
 
 // Listen opens the entry's ports.
@@ -144,9 +170,7 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	wg.Go(func() { _ = e.config.Run(background) })
-	wg.Go(func() { _ = e.members.Run(background) })
-	wg.Go(func() { e.exchangeLoop(background) })
+	wg.Go(func() { e.runState(background) })
 	wg.Go(func() { e.servePeers(background) })
 	wg.Go(func() { e.runLimits(background) })
 	wg.Go(func() { e.runPlacement(background) })
@@ -158,11 +182,11 @@
 	wg.Go(func() { failed <- serveHTTP(caller, e.listeners.caller) })
 	wg.Go(func() { failed <- serveHTTP(operator, e.listeners.operator) })
 	wg.Go(func() { failed <- serveHTTP(metrics, e.listeners.metrics) })
-	wg.Go(func() { e.register(ctx) })
 
 	var err error
 	select {
 	case <-ctx.Done():
+	case <-e.told:
 	case err = <-failed:
 	}
 	e.stop(background, caller)
@@ -171,6 +195,17 @@
 	return err
 }
 
+// runState keeps this process's copy of the fleet's state.
+func (e *Entry) runState(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { _ = e.config.Run(ctx) })
+	wg.Go(func() { _ = e.members.Run(ctx) })
+	wg.Go(func() { e.exchangeLoop(ctx) })
+	wg.Go(func() { e.runMembership(ctx) })
+	wg.Go(func() { e.runWithdrawals(ctx) })
+}
+
 func (e *Entry) httpServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
@@ -195,45 +230,46 @@
 	}
 }
 
-// register enters the process into the member journal. It repeats until the
-// platform accepts it.
-func (e *Entry) register(ctx context.Context) {
-	changeID := "register-" + e.incarnation.String()
-	for ctx.Err() == nil {
-		_, err := e.members.Submit(ctx, changeID, fgmember.BuildRegister(e.self()))
-		if err == nil {
-			e.logger.Info("registered", "vm", e.settings.raw.VM)
-			return
-		}
-		e.logger.Info("registration failed, will be repeated", "error", err.Error())
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerRetryDelay):
-		}
-	}
-}
-
 // stop leaves the fleet without cutting a request: the VM disappears from
 // look-ups, serves callers with cached answers, then waits for requests in
-// flight.
+// flight. No step waits for the platform for longer than memberWriteTimeout.
 func (e *Entry) stop(ctx context.Context, caller *http.Server) {
 	e.logger.Info("entry is leaving", "vm", e.settings.raw.VM)
-	e.submitQuietly(ctx, "leave-"+e.incarnation.String(), fgmember.BuildLeave(e.self()))
-	time.Sleep(e.settings.raw.DrainWait)
+	e.leaving.Store(true)
+	e.tellNeighbours(ctx)
+	e.changeMembers(ctx, "leave-"+e.incarnation.String(), fgmember.BuildLeave(e.self()))
+	wait(ctx, e.settings.raw.DrainWait)
 	drain, cancel := context.WithTimeout(ctx, e.settings.raw.DrainTimeout)
 	defer cancel()
+	caller.SetKeepAlivesEnabled(false)
 	if err := caller.Shutdown(drain); err != nil {
 		e.logger.Info("requests still in flight at the drain timeout", "error", err.Error())
 		_ = caller.Close()
 	}
-	e.submitQuietly(ctx, "remove-"+e.incarnation.String(), fgmember.BuildRemove(e.self()))
+	e.releaseShares(ctx)
+	e.changeMembers(ctx, "remove-"+e.incarnation.String(), fgmember.BuildRemove(e.self()))
 	e.logger.Info("entry stopped", "vm", e.settings.raw.VM)
 }
 
-func (e *Entry) submitQuietly(ctx context.Context, changeID string, build fgmember.Build) {
-	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
+// tellNeighbours lets the neighbours know at once that this process is leaving,
+// also when the platform is down.
+func (e *Entry) tellNeighbours(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	if _, err := e.members.Submit(ctx, changeID, build); err != nil {
-		e.logger.Info("member record not updated", "change", changeID, "error", err.Error())
+	e.hear(e.nodeState())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for _, m := range e.peersToCall() {
+		wg.Go(func() { _ = e.exchangeWith(ctx, m) })
+	}
+}
+
+// wait returns after a time, or when the context ends.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
 }
--- a/internal/fgentry/freshness.go
+++ b/internal/fgentry/freshness.go
@@ -1,13 +1,171 @@
 package fgentry
 
-import "context"
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgsync"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
+)
+
+const (
+	// maxStaleness is how long after a proof that the configuration is the newest
+	// one keyed work is served.
+	maxStaleness = 3 * time.Second
+	// quietAge is the age of the newest platform answer below which statements
+	// about unanswered calls are not sent: nobody needs them then.
+	quietAge = time.Second
+	// staleRetryAfter is suggested to callers whose keyed request was refused.
+	staleRetryAfter = 2 * time.Second
+)
+
+// freshness knows until when keyed work may be served. Times are compared by
+// the monotonic clock, which no adjustment of the wall clock changes.
+type freshness struct {
+	start time.Time
+	// until is the end of the permission, in nanoseconds after start.
+	until atomic.Int64
+
+	mu sync.Mutex
+	// newest is when the call was sent to which the platform gave the newest
+	// answer that this process knows of.
+	newest time.Time
+	// statements holds what each contact last said, by incarnation.
+	statements map[string]statement
+}
+
+// statement is a contact's word on whether the platform answers it.
+type statement struct {
+	at      time.Time
+	reaches bool
+}
+
+func newFreshness() *freshness {
+	return &freshness{start: time.Now(), statements: map[string]statement{}}
+}
 
 // checkFresh refuses keyed work while the configuration may lack a withdrawal
 // that others have accepted.
-func (e *Entry) checkFresh() error { return nil }
+func (e *Entry) checkFresh() error {
+	if time.Since(e.fresh.start) <= time.Duration(e.fresh.until.Load()) {
+		return nil
+	}
+	return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodeStale,
+		"this VM cannot tell whether its configuration is the newest one").WithRetryAfter(staleRetryAfter)
+}
+
+// observePlatform records an answer to this process's own call.
+func (e *Entry) observePlatform(sent time.Time, a fgsync.Answer) {
+	f := e.fresh
+	self := e.incarnation.String()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch a {
+	case fgsync.AnswerCurrent:
+		f.hearAnswer(sent)
+		f.say(self, statement{at: sent, reaches: true})
+	case fgsync.AnswerReached:
+		f.say(self, statement{at: sent, reaches: true})
+	case fgsync.AnswerNone:
+		// A call that was sent before the last answered one proves nothing.
+		if last := f.statements[self]; !last.reaches || sent.After(last.at) {
+			f.say(self, statement{at: time.Now()})
+		}
+	}
+	f.update(e.members.State().Contacts())
+}
+
+// hearFreshness records a peer's answer to a call sent at a time. Only answers
+// count, because a message may lie unread while this process is paused. The
+// age counts only if this process applies what the peer applied.
+func (e *Entry) hearFreshness(sent time.Time, n *fgwire.NodeState) {
+	f := e.fresh
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n.PlatformAgeMs != nil && e.config.Generation() >= n.GetConfigGeneration() {
+		f.hearAnswer(sent.Add(-milliseconds(n.GetPlatformAgeMs())))
+	}
+	for _, c := range n.GetContacts() {
+		if c.GetIncarnation() != e.incarnation.String() {
+			f.say(c.GetIncarnation(), statement{at: sent.Add(-milliseconds(c.GetAgeMs())), reaches: c.GetReachesPlatform()})
+		}
+	}
+	f.update(e.members.State().Contacts())
+}
+
+// hearRefused records that a member's host refuses connections: the process has
+// ended and accepts no changes.
+func (e *Entry) hearRefused(sent time.Time, incarnation string) {
+	f := e.fresh
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.say(incarnation, statement{at: sent})
+	f.update(e.members.State().Contacts())
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(max(n, 0)) * time.Millisecond }
+
+func (f *freshness) hearAnswer(sent time.Time) {
+	if sent.After(f.newest) {
+		f.newest = sent
+	}
+}
+
+func (f *freshness) say(incarnation string, s statement) {
+	if s.at.After(f.statements[incarnation].at) {
+		f.statements[incarnation] = s
+	}
+}
+
+// update computes the permission from what is known, and forgets the statements
+// of processes that are not contacts.
+func (f *freshness) update(contacts []fgmember.Member) {
+	var until time.Time
+	if !f.newest.IsZero() {
+		until = f.newest.Add(maxStaleness)
+	}
+	if unanswered := f.unansweredSince(contacts).Add(maxStaleness); unanswered.After(until) {
+		until = unanswered
+	}
+	f.until.Store(int64(until.Sub(f.start)))
+}
+
+// unansweredSince returns the oldest of the contacts' latest statements if all
+// of them say that the platform does not answer, else the zero time.
+func (f *freshness) unansweredSince(contacts []fgmember.Member) time.Time {
+	var oldest time.Time
+	for _, c := range contacts {
+		s, ok := f.statements[c.Incarnation]
+		if !ok || s.reaches {
+			return time.Time{}
+		}
+		if oldest.IsZero() || s.at.Before(oldest) {
+			oldest = s.at
+		}
+	}
+	return oldest
+}
 
-// trackKey returns a context that is cancelled when the key of a call is
-// withdrawn or expires. The returned function ends the tracking.
-func (e *Entry) trackKey(ctx context.Context, _ *call) (context.Context, func()) {
-	return ctx, func() {}
+// fill writes what this process knows about the platform into a message.
+func (f *freshness) fill(n *fgwire.NodeState, contacts []fgmember.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.newest.IsZero() {
+		age := time.Since(f.newest).Milliseconds() + 1
+		n.PlatformAgeMs = &age
+		if time.Since(f.newest) < quietAge {
+			return
+		}
+	}
+	for _, c := range contacts {
+		s, ok := f.statements[c.Incarnation]
+		if !ok || s.reaches || time.Since(s.at) > maxStaleness {
+			continue
+		}
+		n.Contacts = append(n.Contacts, &fgwire.ContactState{Incarnation: c.Incarnation, AgeMs: time.Since(s.at).Milliseconds() + 1})
+	}
 }
--- /dev/null
+++ b/internal/fgentry/inforce.go
@@ -0,0 +1,79 @@
+package fgentry
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/filbertgap/filbertgap/pkg/fgapi"
+)
+
+// maxInForce bounds the generations whose times are remembered.
+const maxInForce = 1024
+
+// inForce remembers when generations were first in force on all members.
+type inForce struct {
+	mu    sync.Mutex
+	times []inForceSince
+}
+
+type inForceSince struct {
+	generation uint64
+	at         time.Time
+}
+
+// note records the oldest generation that any member applies.
+func (f *inForce) note(generation uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := len(f.times); n > 0 && f.times[n-1].generation >= generation {
+		return
+	}
+	f.times = append(f.times, inForceSince{generation: generation, at: time.Now()})
+	if len(f.times) > maxInForce {
+		f.times = append([]inForceSince(nil), f.times[1:]...)
+	}
+}
+
+// since returns when a generation was first in force everywhere.
+func (f *inForce) since(generation uint64) *time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.times {
+		if t.generation >= generation {
+			return &t.at
+		}
+	}
+	return nil
+}
+
+// noteInForce records what is in force everywhere.
+func (e *Entry) noteInForce() {
+	lowest := uint64(math.MaxUint64)
+	for _, m := range e.members.State().All() {
+		report, _ := e.reports.Get(m.Incarnation)
+		lowest = min(lowest, report.ConfigGeneration())
+	}
+	if lowest != math.MaxUint64 {
+		e.inForce.note(lowest)
+	}
+}
+
+// statusAt counts the members that apply a generation.
+func (e *Entry) statusAt(generation uint64) *fgapi.Status {
+	out := &fgapi.Status{ObservedGeneration: e.config.Generation()}
+	for _, m := range e.members.State().All() {
+		out.Members++
+		report, ok := e.reports.Get(m.Incarnation)
+		if ok && report.ConfigGeneration() >= generation {
+			out.InForce++
+			continue
+		}
+		out.Missing = append(out.Missing, m.VM)
+	}
+	if out.Complete() {
+		e.noteInForce()
+		out.Since = e.inForce.since(generation)
+	}
+	return out
+}
--- a/internal/fgentry/limits.go
+++ b/internal/fgentry/limits.go
@@ -25,3 +25,7 @@
 
 // runLimits keeps the shares of limits up to date until the context ends.
 func (e *Entry) runLimits(ctx context.Context) { <-ctx.Done() }
+
+// releaseShares lowers this process's shares to zero, as the last step before
+// it leaves the fleet.
+func (e *Entry) releaseShares(_ context.Context) {}
--- a/internal/fgentry/lookup.go
+++ b/internal/fgentry/lookup.go
@@ -34,7 +34,7 @@
 func (e *Entry) handleLookup(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	answer := LookupAnswer{LifetimeSeconds: int(lookupLifetime.Seconds())}
 	for _, m := range e.members.State().All() {
-		if m.Leaving || !e.reports.Alive(m.Incarnation) {
+		if m.Leaving || e.reports.Leaving(m.Incarnation) || !e.reports.Alive(m.Incarnation) {
 			continue
 		}
 		answer.VMs = append(answer.VMs, LookupVM{
--- a/internal/fgentry/operator.go
+++ b/internal/fgentry/operator.go
@@ -15,6 +15,7 @@
 	"github.com/filbertgap/filbertgap/internal/coordination/fgsync"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/internal/state/fgjournal"
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
 )
 
@@ -58,6 +59,10 @@
 }
 
 func (e *Entry) handleChange(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	if p := e.refuseChange(); p != nil {
+		p.Write(w, "")
+		return
+	}
 	var in ChangeRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes)).Decode(&in); err != nil {
 		fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, err.Error()).Write(w, "")
@@ -81,10 +86,28 @@
 	writeJSON(w, ChangeAnswer{Generation: generation})
 }
 
+// refuseChange returns the reason why this VM accepts no changes, or nil.
+func (e *Entry) refuseChange() *fgproblem.Problem {
+	m, ok := e.ownRecord()
+	if ok && m.Contact && !e.leaving.Load() {
+		return nil
+	}
+	detail := "this VM accepts no changes"
+	for _, c := range e.members.State().Contacts() {
+		if e.reports.Alive(c.Incarnation) && c.VM != e.settings.raw.VM {
+			detail += "; send them to VM " + c.VM + " in " + c.AvailabilityZone
+			break
+		}
+	}
+	return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodeNotContact, detail).WithRetryAfter(submitRetryAfter)
+}
+
 func changeProblem(err error) *fgproblem.Problem {
 	switch {
-	case errors.Is(err, fgapi.ErrInvalid):
+	case errors.Is(err, fgapi.ErrInvalid), errors.Is(err, fgjournal.ErrTooLarge), errors.Is(err, fgjournal.ErrChangeID):
 		return fgproblem.New(http.StatusUnprocessableEntity, fgproblem.CodeInvalid, err.Error())
+	case errors.Is(err, fgstore.ErrUnknown):
+		return unansweredChange(err)
 	case errors.Is(err, fgconfig.ErrConflict), errors.Is(err, fgsync.ErrBusy):
 		return fgproblem.New(http.StatusConflict, fgproblem.CodeConflict, err.Error())
 	case errors.Is(err, fgconfig.ErrNotFound):
@@ -92,11 +115,16 @@
 	case errors.Is(err, fgstore.ErrUnavailable):
 		return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodePlatform, err.Error()).WithRetryAfter(submitRetryAfter)
 	default:
-		return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodePlatform, err.Error()).
-			WithOutcome(fgproblem.Unknown).WithRetryAfter(submitRetryAfter)
+		return unansweredChange(err)
 	}
 }
 
+// unansweredChange tells an operator that a change may have been accepted.
+func unansweredChange(err error) *fgproblem.Problem {
+	return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodePlatform, err.Error()).
+		WithOutcome(fgproblem.Unknown).WithRetryAfter(submitRetryAfter)
+}
+
 func (e *Entry) handleResources(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	s := e.config.State()
 	resources := s.All()
@@ -109,6 +137,7 @@
 		resources = s.Resources(k)
 	}
 	name := r.URL.Query().Get("name")
+	e.askMissing(r.Context(), s.Generation())
 	out := []fgapi.Resource{}
 	for _, res := range resources {
 		if name != "" && res.Metadata.Name != name {
@@ -120,21 +149,6 @@
 	writeJSON(w, out)
 }
 
-// statusAt counts the members that apply a generation.
-func (e *Entry) statusAt(generation uint64) *fgapi.Status {
-	out := &fgapi.Status{ObservedGeneration: e.config.Generation()}
-	for _, m := range e.members.State().All() {
-		out.Members++
-		report, ok := e.reports.Get(m.Incarnation)
-		if ok && report.ConfigGeneration() >= generation {
-			out.InForce++
-			continue
-		}
-		out.Missing = append(out.Missing, m.VM)
-	}
-	return out
-}
-
 // FleetStatus describes the fleet as one VM sees it.
 type FleetStatus struct {
 	VM         string            `json:"vm"`
@@ -143,8 +157,9 @@
 	Members    []fgmember.Member `json:"members"`
 }
 
-func (e *Entry) handleStatus(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+func (e *Entry) handleStatus(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	generation := e.config.Generation()
+	e.askMissing(r.Context(), generation)
 	writeJSON(w, FleetStatus{
 		VM:         e.settings.raw.VM,
 		Generation: generation,
--- a/internal/fgentry/peers.go
+++ b/internal/fgentry/peers.go
@@ -2,20 +2,31 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgsync"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 )
 
 const (
-	// exchangeInterval separates the messages to each neighbour.
-	exchangeInterval = 500 * time.Millisecond
 	// exchangeTimeout bounds one exchange, so that a silent connection is
 	// replaced.
 	exchangeTimeout = 2 * time.Second
+	// fetchTimeout bounds the transfer of a journal, which may be large.
+	fetchTimeout = 10 * time.Second
+	// fetchWorkers is the number of peers whose news is fetched at once, so that
+	// a silent peer does not hold up the others.
+	fetchWorkers = 4
+	// fetchQueue bounds the news that waits; what is dropped comes again with the
+	// next exchange.
+	fetchQueue = 64
 )
 
 // peerService answers the calls of other entry processes.
@@ -28,59 +39,256 @@
 // Exchange records the caller's state and returns this process's.
 func (s *peerService) Exchange(_ context.Context, in *fgwire.NodeState) (*fgwire.NodeState, error) {
 	s.entry.hear(in)
+	s.entry.queueFetch(in)
 	return s.entry.nodeState(), nil
 }
 
-func (e *Entry) nodeState() *fgwire.NodeState {
-	return &fgwire.NodeState{
-		Incarnation:       e.incarnation.String(),
-		Vm:                e.settings.raw.VM,
-		ConfigGeneration:  e.config.Generation(),
-		MembersGeneration: e.members.Generation(),
+// Fetch returns the newer part of a journal.
+func (s *peerService) Fetch(_ context.Context, in *fgwire.FetchRequest) (*fgwire.FetchAnswer, error) {
+	c, err := s.entry.offer(in)
+	if err != nil {
+		return nil, err
+	}
+	return &fgwire.FetchAnswer{Head: c.Head, Revision: c.Revision, Snapshot: c.Snapshot, Parts: int64(c.Parts)}, nil
+}
+
+func (e *Entry) offer(in *fgwire.FetchRequest) (fgsync.Copy, error) {
+	switch in.GetJournal() {
+	case configKey:
+		return e.config.Offer(in.GetGeneration(), int(in.GetPart()))
+	case membersKey:
+		return e.members.Offer(in.GetGeneration(), int(in.GetPart()))
+	default:
+		return fgsync.Copy{}, fmt.Errorf("journal %q is unknown", in.GetJournal())
 	}
 }
 
+func (e *Entry) nodeState() *fgwire.NodeState {
+	// The age is read before the generation: a peer may count the age only if it
+	// applies the generation.
+	n := &fgwire.NodeState{Incarnation: e.incarnation.String(), Vm: e.settings.raw.VM, Leaving: e.leaving.Load()}
+	e.fresh.fill(n, e.members.State().Contacts())
+	n.ConfigGeneration = e.config.Generation()
+	n.MembersGeneration = e.members.Generation()
+	return n
+}
+
 func (e *Entry) hear(n *fgwire.NodeState) {
-	e.reports.Add(fgmember.NewReport(n.GetIncarnation(), n.GetConfigGeneration()))
+	e.reports.Add(fgmember.NewReport(n.GetIncarnation(), n.GetConfigGeneration()).WithLeaving(n.GetLeaving()))
 }
 
-// exchangeLoop swaps states with all peers at each interval and at each change
-// of the configuration.
+// exchangeLoop keeps one loop for each peer that this process calls.
 func (e *Entry) exchangeLoop(ctx context.Context) {
-	ticker := time.NewTicker(exchangeInterval)
-	defer ticker.Stop()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { e.reportSelf(ctx) })
+	for range fetchWorkers {
+		wg.Go(func() { e.fetchLoop(ctx) })
+	}
+	running := map[fgmember.Member]context.CancelFunc{}
+	defer func() {
+		for _, cancel := range running {
+			cancel()
+		}
+	}()
 	for {
-		e.exchangeAll(ctx)
+		changed := e.members.Changed()
+		want := map[fgmember.Member]bool{}
+		for _, m := range e.peersToCall() {
+			want[m] = true
+			if running[m] != nil {
+				continue
+			}
+			peer, cancel := context.WithCancel(ctx)
+			running[m] = cancel
+			wg.Go(func() { e.peerLoop(peer, m) })
+		}
+		for m, cancel := range running {
+			if !want[m] {
+				cancel()
+				delete(running, m)
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-		case <-e.config.Changed():
-		case <-e.members.Changed():
+		case <-changed:
 		}
 	}
 }
 
-func (e *Entry) exchangeAll(ctx context.Context) {
-	e.hear(e.nodeState())
-	var wg conc.WaitGroup
-	defer wg.Wait()
-	for _, m := range e.members.State().All() {
-		if m.Incarnation == e.incarnation.String() {
-			continue
+// peersToCall returns the neighbours, or the peers of the settings while no
+// member is known. Fields that do not concern the connection are left out.
+func (e *Entry) peersToCall() []fgmember.Member {
+	members := e.members.State()
+	var out []fgmember.Member
+	for _, m := range members.Neighbours(e.settings.raw.VM) {
+		out = append(out, fgmember.Member{VM: m.VM, Incarnation: m.Incarnation, PeerAddress: m.PeerAddress})
+	}
+	if len(members.All()) > 0 {
+		return out
+	}
+	for _, a := range e.settings.raw.PeerSeeds {
+		out = append(out, fgmember.Member{PeerAddress: a})
+	}
+	return out
+}
+
+// reportSelf keeps this process's own report alive.
+func (e *Entry) reportSelf(ctx context.Context) {
+	for {
+		config, members := e.config.Changed(), e.members.Changed()
+		e.reports.Keep(e.members.State())
+		e.hear(e.nodeState())
+		e.noteInForce()
+		e.wait(ctx, config, members)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// wait returns after the exchange interval, or at once when there is news.
+func (e *Entry) wait(ctx context.Context, config, members <-chan struct{}) {
+	t := time.NewTimer(e.members.State().ExchangeInterval())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-config:
+	case <-members:
+	}
+}
+
+func (e *Entry) peerLoop(ctx context.Context, m fgmember.Member) {
+	for ctx.Err() == nil {
+		config, members := e.config.Changed(), e.members.Changed()
+		if err := e.exchangeWith(ctx, m); err != nil {
+			e.logger.V(1).Info("exchange failed", "peer", m.VM, "address", m.PeerAddress, "error", err.Error())
 		}
-		wg.Go(func() { e.exchangeWith(ctx, m) })
+		e.wait(ctx, config, members)
 	}
 }
 
-func (e *Entry) exchangeWith(ctx context.Context, m fgmember.Member) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+func (e *Entry) exchangeWith(ctx context.Context, m fgmember.Member) error {
+	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	client := fgwire.NewDRPCPeerClient(e.dialer.RPC(ctx, m.PeerAddress))
-	answer, err := client.Exchange(ctx, e.nodeState())
+	sent := time.Now()
+	n, err := e.peer(call, m.PeerAddress).Exchange(call, e.nodeState())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		e.hearRefused(sent, m.Incarnation)
+	}
 	if err != nil {
-		e.logger.V(1).Info("exchange failed", "peer", m.VM, "error", err.Error())
+		return err
+	}
+	e.hear(n)
+	err = e.fetchNews(ctx, m.PeerAddress, n)
+	e.hearFreshness(sent, n)
+	return err
+}
+
+// queueFetch has the news of a calling peer fetched.
+func (e *Entry) queueFetch(n *fgwire.NodeState) {
+	if !e.isNews(n) {
 		return
 	}
-	e.hear(answer)
+	select {
+	case e.news <- n:
+	default:
+	}
+}
+
+func (e *Entry) isNews(n *fgwire.NodeState) bool {
+	return n.GetConfigGeneration() > e.config.Generation() || n.GetMembersGeneration() > e.members.Generation()
+}
+
+func (e *Entry) fetchLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-e.news:
+			m, ok := e.members.State().ByIncarnation(n.GetIncarnation())
+			if !ok {
+				continue
+			}
+			if err := e.fetchNews(ctx, m.PeerAddress, n); err != nil {
+				e.logger.V(1).Info("fetch failed", "peer", m.VM, "error", err.Error())
+			}
+		}
+	}
+}
+
+// fetchNews copies the journals that a peer has newer.
+func (e *Entry) fetchNews(ctx context.Context, address string, n *fgwire.NodeState) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var errs []error
+	if n.GetMembersGeneration() > e.members.Generation() {
+		errs = append(errs, e.members.Fetch(ctx, e.fetcher(address, membersKey)))
+	}
+	if n.GetConfigGeneration() > e.config.Generation() {
+		errs = append(errs, e.config.Fetch(ctx, e.fetcher(address, configKey)))
+	}
+	return errors.Join(errs...)
+}
+
+func (e *Entry) fetcher(address, journal string) func(context.Context, uint64, int) (fgsync.Copy, error) {
+	return func(ctx context.Context, generation uint64, part int) (fgsync.Copy, error) {
+		a, err := e.peer(ctx, address).Fetch(ctx, &fgwire.FetchRequest{Journal: journal, Generation: generation, Part: int64(part)})
+		if err != nil {
+			return fgsync.Copy{}, err
+		}
+		return fgsync.Copy{Head: a.GetHead(), Revision: a.GetRevision(), Snapshot: a.GetSnapshot(), Parts: int(a.GetParts())}, nil
+	}
+}
+
+// askTimeout bounds how long a status answer waits for reports.
+const askTimeout = time.Second
+
+// maxAsked bounds the members that one status answer asks at once.
+const maxAsked = 64
+
+// asked remembers when each member was last asked for its report.
+type asked struct {
+	mu sync.Mutex
+	at map[string]time.Time
+}
+
+// due reports whether a member was not asked within the last second, and
+// remembers that it is asked now.
+func (a *asked) due(incarnation string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if time.Since(a.at[incarnation]) < askTimeout {
+		return false
+	}
+	if a.at == nil {
+		a.at = map[string]time.Time{}
+	}
+	a.at[incarnation] = time.Now()
+	return true
+}
+
+// askMissing asks the members whose reports lack a generation and that are not
+// neighbours. Reports cross the overlay only on request, because forwarding
+// those of 4,100 members would cost more than the 6 KB/s of a VM.
+func (e *Entry) askMissing(ctx context.Context, generation uint64) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	neighbours := map[string]bool{e.settings.raw.VM: true}
+	for _, m := range e.peersToCall() {
+		neighbours[m.VM] = true
+	}
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	count := 0
+	for _, m := range e.members.State().All() {
+		report, ok := e.reports.Get(m.Incarnation)
+		if neighbours[m.VM] || ok && report.ConfigGeneration() >= generation || count == maxAsked || !e.asked.due(m.Incarnation) {
+			continue
+		}
+		count++
+		wg.Go(func() { _ = e.exchangeWith(ctx, m) })
+	}
 }
--- a/internal/fgentry/settings.go
+++ b/internal/fgentry/settings.go
@@ -23,6 +23,7 @@
 	CallerAdvertise   string
 	PeerListen        string
 	PeerAdvertise     string
+	PeerSeeds         []string
 	OperatorListen    string
 	MetricsListen     string
 	Platform          string
@@ -55,6 +56,9 @@
 		optionalAddress("peer-advertise", r.PeerAdvertise),
 		loopback("operator-listen", r.OperatorListen),
 	}
+	for _, seed := range r.PeerSeeds {
+		errs = append(errs, address("peer-seeds", seed))
+	}
 	secret, err := readSecretFile("fleet-secret-file", r.FleetSecretFile)
 	if err == nil {
 		s.fleetSecret, err = fgpeer.NewSecret([]byte(secret))
--- /dev/null
+++ b/internal/fgentry/withdrawal.go
@@ -0,0 +1,115 @@
+package fgentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+)
+
+// withdrawalGrace is how long a request in flight may go on after its key was
+// withdrawn or has expired.
+const withdrawalGrace = 2 * time.Second
+
+// errKeyWithdrawn is the cause of a cancellation because the request's key was
+// withdrawn or has expired.
+var errKeyWithdrawn = merry.Sentinel("the request's key was withdrawn or has expired")
+
+// tracked is a request in flight.
+type tracked struct {
+	key    *fgconfig.Key
+	cancel context.CancelCauseFunc
+	// timer ends the request. It is nil while the key has no end.
+	timer  *time.Timer
+	doomed bool
+}
+
+// inFlight holds the requests in flight with keys. The zero value is empty.
+type inFlight struct {
+	mu       sync.Mutex
+	requests map[*tracked]struct{}
+}
+
+// trackKey returns a context that is cancelled 2 s after the key of a call is
+// withdrawn or expires; context.Cause then matches errKeyWithdrawn. The
+// returned function ends the tracking.
+func (e *Entry) trackKey(ctx context.Context, c *call) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	t := &tracked{key: c.key, cancel: cancel}
+	f := &e.inFlight
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.requests == nil {
+		f.requests = map[*tracked]struct{}{}
+	}
+	f.requests[t] = struct{}{}
+	t.expireWith(c.key)
+	// The configuration may have changed since the call loaded its snapshot.
+	t.review(e.config.State())
+	return ctx, func() { f.end(t) }
+}
+
+func (f *inFlight) end(t *tracked) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.requests, t)
+	t.stopTimer()
+	t.cancel(nil)
+}
+
+// review looks at the keys of all requests in flight after a change.
+func (f *inFlight) review(s *fgconfig.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for t := range f.requests {
+		t.review(s)
+	}
+}
+
+func (t *tracked) review(s *fgconfig.Snapshot) {
+	now, ok := s.Key(t.key.ID())
+	switch {
+	case t.doomed || now == t.key:
+	case !ok || now.Spec().Digest != t.key.Spec().Digest || now.Spec().Workspace != t.key.Spec().Workspace:
+		t.doomed = true
+		t.endIn(withdrawalGrace)
+	default:
+		t.key = now
+		t.expireWith(now)
+	}
+}
+
+func (t *tracked) expireWith(k *fgconfig.Key) {
+	t.stopTimer()
+	if at := k.Spec().ExpiresAt; at != nil {
+		t.endIn(time.Until(*at) + withdrawalGrace)
+	}
+}
+
+func (t *tracked) endIn(d time.Duration) {
+	t.stopTimer()
+	t.timer = time.AfterFunc(d, func() { t.cancel(errKeyWithdrawn) })
+}
+
+func (t *tracked) stopTimer() {
+	if t.timer != nil {
+		t.timer.Stop()
+		t.timer = nil
+	}
+}
+
+// runWithdrawals reviews the requests in flight after each change.
+func (e *Entry) runWithdrawals(ctx context.Context) {
+	for {
+		changed := e.config.Changed()
+		e.inFlight.review(e.config.State())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
--- a/internal/protocol/fgproblem/problem.go
+++ b/internal/protocol/fgproblem/problem.go
@@ -48,6 +48,7 @@
 	CodeConflict         Code = "conflict"
 	CodeNotFound         Code = "not-found"
 	CodePlatform         Code = "platform-unavailable"
+	CodeNotContact       Code = "not-a-contact"
 )
 
 // contentType is the media type of RFC 9457.
