Prove freshness, withdrawal and membership on a fake fleet

Entries run without listeners in a synctest bubble, over a fake network with 55 ms one way that can be cut, and the stand-in platform.

Seen failing with the mechanism off: - checkFresh, and the second condition without all contacts: TestCutOffAlone, TestPartedRegions. - Second condition, statements for hosts that refuse connections: TestOutageWithAllContacts. - Ages told by peers: TestLargerFleet, TestPausedProcess. Ages that count before the generation is applied: TestAgeNeedsGeneration. Incoming messages that count: TestPausedProcess. - Fetch from peers: TestStaleReadDoesNotRevive, TestNewVMDuringOutage, TestLargerFleet. Seeds: TestNewVMDuringOutage. - Review of requests in flight: TestInFlightIsCut waited for ever; it has a bound now.

A call to the platform whose connection was never made is now reported as not taken effect.

--- a/internal/coordination/fgmember/change.go
+++ b/internal/coordination/fgmember/change.go
@@ -80,11 +80,12 @@
 	return others < MaxContacts
 }
 
-// owned returns the record of a process, or ErrReplaced.
+// owned returns the record of a process, or fgsync.ErrNoChange if the record is
+// gone or belongs to a newer process of the VM.
 func (s *Set) owned(m Member) (Member, error) {
 	current, ok := s.Member(m.VM)
 	if !ok || current.Incarnation != m.Incarnation {
-		return Member{}, merry.Wrap(ErrReplaced)
+		return Member{}, merry.Wrap(fgsync.ErrNoChange)
 	}
 	return current, nil
 }
--- a/internal/coordination/fgmember/member.go
+++ b/internal/coordination/fgmember/member.go
@@ -8,14 +8,9 @@
 	"slices"
 	"strings"
 
-	"github.com/ansel1/merry/v2"
-
 	"github.com/filbertgap/filbertgap/internal/state/fgjournal"
 )
 
-// ErrReplaced means that another process has registered under the VM's name.
-var ErrReplaced = merry.Sentinel("another process has registered for this VM")
-
 // Member is a registered entry process.
 type Member struct {
 	VM               string `json:"vm"`
@@ -42,6 +37,9 @@
 	// byIncarnation holds VM names.
 	byIncarnation map[string]string
 	sorted        []Member
+	contacts      []Member
+	// ring holds the members by the hash of their VM names.
+	ring []Member
 }
 
 // EmptySet returns a set without members.
@@ -62,16 +60,9 @@
 	return s.Member(vm)
 }
 
-// Contacts returns the members that watch the platform, by VM name.
-func (s *Set) Contacts() []Member {
-	var out []Member
-	for _, m := range s.sorted {
-		if m.Contact {
-			out = append(out, m)
-		}
-	}
-	return out
-}
+// Contacts returns the members that watch the platform, by VM name. The slice
+// must not be modified.
+func (s *Set) Contacts() []Member { return s.contacts }
 
 // All returns the members by VM name. The slice must not be modified.
 func (s *Set) All() []Member { return s.sorted }
@@ -101,6 +92,12 @@
 		s.byIncarnation[m.Incarnation] = m.VM
 	}
 	s.sorted = slices.SortedFunc(maps.Values(members), func(a, b Member) int { return strings.Compare(a.VM, b.VM) })
+	s.ring = slices.SortedFunc(slices.Values(s.sorted), compareHashed)
+	for _, m := range s.sorted {
+		if m.Contact {
+			s.contacts = append(s.contacts, m)
+		}
+	}
 	return s
 }
 
--- a/internal/coordination/fgmember/overlay.go
+++ b/internal/coordination/fgmember/overlay.go
@@ -1,6 +1,7 @@
 package fgmember
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -16,6 +17,10 @@
 	shortInterval = 500 * time.Millisecond
 	// longInterval keeps the messages of large fleets under 6 KB/s per VM.
 	longInterval = time.Second
+	// shortListInterval and longListInterval separate a contact's calls for the
+	// VM list, which has about 160 KB at 4,100 VMs.
+	shortListInterval = 5 * time.Second
+	longListInterval  = time.Minute
 )
 
 // ExchangeInterval returns the time between two messages to a neighbour.
@@ -26,23 +31,23 @@
 	return shortInterval
 }
 
+// VMListInterval returns the time between a contact's calls for the VM list.
+func (s *Set) VMListInterval() time.Duration {
+	if len(s.sorted) > smallFleet {
+		return longListInterval
+	}
+	return shortListInterval
+}
+
 // Neighbours returns the members that a VM calls: all others of a small fleet,
 // else those at the offsets N^(i/8) in the order of hashed VM names. Successive
 // offsets grow by a constant factor, so that news crosses the fleet in a few
 // hops.
 func (s *Set) Neighbours(vm string) []Member {
-	ring := slices.SortedFunc(slices.Values(s.sorted), func(a, b Member) int {
-		if x, y := hashName(a.VM), hashName(b.VM); x != y {
-			if x < y {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a.VM, b.VM)
-	})
-	self := slices.IndexFunc(ring, func(m Member) bool { return m.VM == vm })
-	if self < 0 || len(ring) <= maxNeighbours+1 {
-		others := slices.DeleteFunc(ring, func(m Member) bool { return m.VM == vm })
+	ring := s.ring
+	self, ok := slices.BinarySearchFunc(ring, Member{VM: vm}, compareHashed)
+	if !ok || len(ring) <= maxNeighbours+1 {
+		others := slices.DeleteFunc(slices.Clone(ring), func(m Member) bool { return m.VM == vm })
 		return others[:min(len(others), maxNeighbours)]
 	}
 	var out []Member
@@ -55,6 +60,11 @@
 	return out
 }
 
+// compareHashed orders members by the hash of their VM names.
+func compareHashed(a, b Member) int {
+	return cmp.Or(cmp.Compare(hashName(a.VM), hashName(b.VM)), strings.Compare(a.VM, b.VM))
+}
+
 func hashName(name string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name))
--- a/internal/fgcommand/script_test.go
+++ b/internal/fgcommand/script_test.go
@@ -44,6 +44,9 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fetch":      scriptFetch,
 			"poll":       scriptPoll,
+			"withdraw":   scriptWithdraw,
+			"keyid":      scriptKeyID,
+			"steady":     scriptSteady,
 			"envsubst":   scriptEnvsubst,
 			"setenvfile": scriptSetenvFile,
 		},
--- /dev/null
+++ b/internal/fgentry/fleet_test.go
@@ -0,0 +1,224 @@
+package fgentry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+	"github.com/filbertgap/filbertgap/internal/fgstandin"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
+	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/pkg/fgapi"
+)
+
+// oneWay is the delay between two regions.
+const oneWay = 55 * time.Millisecond
+
+// fleet runs entries without listeners over a fake network, in a synctest bubble.
+type fleet struct {
+	t        *testing.T
+	platform fgstandin.Platform
+
+	mu      sync.Mutex
+	entries map[string]*Entry
+	stops   map[string]func()
+	// severed tells the ends between which nothing arrives. "" is the platform.
+	severed func(a, b string) bool
+	refused map[string]bool
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, entries: map[string]*Entry{}, stops: map[string]func(){}, refused: map[string]bool{}}
+	for i := range n {
+		f.start(fmt.Sprintf("vm-%d", i), i)
+	}
+	time.Sleep(5 * time.Second)
+	return f
+}
+
+func (f *fleet) start(vm string, i int, seeds ...string) *Entry {
+	zone := i % 6
+	s := Settings{raw: RawSettings{
+		VM: vm, Region: fmt.Sprintf("r%d", zone/2), AvailabilityZone: fmt.Sprintf("z%d", zone),
+		CallerAdvertise: vm, PeerAdvertise: vm, PeerSeeds: seeds, DrainWait: 30 * time.Second, DrainTimeout: time.Minute,
+	}}
+	link := platformLink{fleet: f, vm: vm}
+	e := New(s, link, link, logr.Discard())
+	e.peer = func(_ context.Context, address string) fgwire.DRPCPeerClient {
+		return fakePeer{fleet: f, from: vm, to: address}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	f.mu.Lock()
+	f.entries[vm] = e
+	delete(f.refused, vm)
+	f.stops[vm] = func() { cancel(); <-done }
+	f.mu.Unlock()
+	go func() {
+		defer close(done)
+		e.runState(ctx)
+	}()
+	return e
+}
+
+// kill ends a process; its host then refuses connections.
+func (f *fleet) kill(vm string) {
+	f.stops[vm]()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused[vm] = true
+}
+
+func (f *fleet) stop() {
+	for _, stop := range f.stops {
+		stop()
+	}
+}
+
+func (f *fleet) sever(severed func(a, b string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.severed = severed
+}
+
+// reach waits for a message to pass, or for the context if it cannot.
+func (f *fleet) reach(ctx context.Context, from, to string) (*Entry, error) {
+	f.mu.Lock()
+	e, refused := f.entries[to], f.refused[to]
+	severed := f.severed != nil && (f.severed(from, to) || f.severed(to, from))
+	f.mu.Unlock()
+	if severed {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if refused {
+		return nil, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+	}
+	wait(ctx, oneWay)
+	return e, ctx.Err()
+}
+
+// fakePeer calls a peer's service directly.
+type fakePeer struct {
+	fgwire.DRPCPeerClient
+
+	fleet    *fleet
+	from, to string
+}
+
+func (p fakePeer) Exchange(ctx context.Context, in *fgwire.NodeState) (*fgwire.NodeState, error) {
+	e, err := p.fleet.reach(ctx, p.from, p.to)
+	if err != nil {
+		return nil, err
+	}
+	out, err := (&peerService{entry: e}).Exchange(ctx, in)
+	wait(ctx, oneWay)
+	return out, err
+}
+
+func (p fakePeer) Fetch(ctx context.Context, in *fgwire.FetchRequest) (*fgwire.FetchAnswer, error) {
+	e, err := p.fleet.reach(ctx, p.from, p.to)
+	if err != nil {
+		return nil, err
+	}
+	return (&peerService{entry: e}).Fetch(ctx, in)
+}
+
+// platformLink is one VM's connection to the platform.
+type platformLink struct {
+	fleet *fleet
+	vm    string
+}
+
+func through[T any](ctx context.Context, l platformLink, call func() (T, error)) (T, error) {
+	if _, err := l.fleet.reach(ctx, l.vm, ""); err != nil {
+		var zero T
+		return zero, fgstore.ErrUnknown
+	}
+	return call()
+}
+
+func (l platformLink) Get(ctx context.Context, key string) (fgstore.Value, error) {
+	return through(ctx, l, func() (fgstore.Value, error) { return l.fleet.platform.Get(ctx, key) })
+}
+
+func (l platformLink) CompareAndSwap(ctx context.Context, key string, expected uint64, data []byte) (uint64, error) {
+	return through(ctx, l, func() (uint64, error) { return l.fleet.platform.CompareAndSwap(ctx, key, expected, data) })
+}
+
+func (l platformLink) Delete(ctx context.Context, key string, expected uint64) error {
+	return l.fleet.platform.Delete(ctx, key, expected)
+}
+
+func (l platformLink) Watch(ctx context.Context, key string, after uint64) (fgstore.Value, error) {
+	return through(ctx, l, func() (fgstore.Value, error) { return l.fleet.platform.Watch(ctx, key, after) })
+}
+
+func (l platformLink) Range(ctx context.Context, prefix string) ([]string, error) {
+	return l.fleet.platform.Range(ctx, prefix)
+}
+
+func (l platformLink) ListVMs(ctx context.Context) ([]fgstore.VM, error) {
+	return through(ctx, l, func() ([]fgstore.VM, error) { return l.fleet.platform.ListVMs(ctx) })
+}
+
+// change submits a configuration change at a VM.
+func (f *fleet) change(vm, id string, c fgconfig.Change) {
+	f.t.Helper()
+	_, err := f.entries[vm].config.Submit(context.Background(), id, buildChange(c))
+	if err != nil {
+		f.t.Fatalf("change %s: %v", id, err)
+	}
+}
+
+// issue declares a key, and withdraw deletes it.
+func (f *fleet) issue(vm string) {
+	f.change(vm, "issue", fgconfig.Change{Put: []fgapi.Resource{
+		{APIVersion: fgapi.Version, Kind: fgapi.KindWorkspace, Metadata: fgapi.Metadata{Name: "w"}, Spec: &fgapi.WorkspaceSpec{RequestsPerSecond: 1, Burst: 1}},
+		{APIVersion: fgapi.Version, Kind: fgapi.KindKey, Metadata: fgapi.Metadata{Name: "k"}, Spec: &fgapi.KeySpec{Workspace: "w"}},
+	}})
+	time.Sleep(time.Second)
+}
+
+func (f *fleet) withdraw(vm string) {
+	f.change(vm, "withdraw", fgconfig.Change{Delete: []fgapi.Ref{{Kind: fgapi.KindKey, Name: "k"}}})
+}
+
+// honours reports whether a VM would run a request with the key.
+func (f *fleet) honours(vm string) bool {
+	e := f.entries[vm]
+	_, ok := e.config.State().Key("k")
+	return ok && e.checkFresh() == nil
+}
+
+// outages samples the VMs for a while and returns how long each was not fresh,
+// up to the sampling step.
+func (f *fleet) outages(d time.Duration) map[string]time.Duration {
+	const step = 10 * time.Millisecond
+	out := map[string]time.Duration{}
+	for range int(d / step) {
+		for vm, e := range f.entries {
+			if e.checkFresh() != nil {
+				out[vm] += step
+			}
+		}
+		time.Sleep(step)
+	}
+	return out
+}
+
+// inBubble runs a test with a fleet of a size.
+func inBubble(t *testing.T, n int, run func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, n)
+		defer f.stop()
+		run(f)
+	})
+}
--- /dev/null
+++ b/internal/fgentry/freshness_test.go
@@ -0,0 +1,305 @@
+package fgentry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+	"github.com/filbertgap/filbertgap/internal/fgstandin"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
+)
+
+// stopBound is how long a VM may serve keyed work after it was cut off: 3 s
+// from its last proof, and one exchange.
+const stopBound = maxStaleness + 500*time.Millisecond + 4*oneWay
+
+// Guards against a platform outage that stops keyed work, whether calls are
+// refused or hang, and whether or not a process has died meanwhile.
+func TestOutageWithAllContacts(t *testing.T) {
+	for _, faults := range []fgstandin.Faults{{Down: true}, {Silent: true}} {
+		inBubble(t, 7, func(f *fleet) {
+			f.issue("vm-0")
+			f.platform.SetFaults(faults)
+			if out := f.outages(20 * time.Second); len(out) > 0 {
+				t.Errorf("faults %+v: not fresh for %v", faults, out)
+			}
+			f.kill("vm-3")
+			out := f.outages(10 * time.Second)
+			delete(out, "vm-3")
+			if len(out) > 0 {
+				t.Errorf("faults %+v, a process died: not fresh for %v", faults, out)
+			}
+		})
+	}
+}
+
+// Guards against a VM that is cut off alone and goes on serving a key that was
+// withdrawn, and against others that stop with it.
+func TestCutOffAlone(t *testing.T) {
+	inBubble(t, 7, func(f *fleet) {
+		f.issue("vm-0")
+		f.sever(func(a, _ string) bool { return a == "vm-6" })
+		f.withdraw("vm-0")
+		time.Sleep(stopBound)
+		for vm := range f.entries {
+			if f.honours(vm) {
+				t.Errorf("%s still honours the key", vm)
+			}
+		}
+		out := f.outages(10 * time.Second)
+		if len(out) != 1 || out["vm-6"] != 10*time.Second {
+			t.Errorf("not fresh: %v, want only vm-6", out)
+		}
+		f.sever(nil)
+		time.Sleep(3 * time.Second)
+		if f.honours("vm-6") || f.entries["vm-6"].checkFresh() != nil {
+			t.Error("vm-6 has not caught up 3 s after the cut ended")
+		}
+	})
+}
+
+// Guards against the side without the platform going on in a partition, also
+// when the platform then goes down for the other side.
+func TestPartedRegions(t *testing.T) {
+	inBubble(t, 7, func(f *fleet) {
+		f.issue("vm-0")
+		f.sever(func(a, b string) bool { return f.region(a) != f.region(b) })
+		time.Sleep(stopBound)
+		f.withdraw("vm-0")
+		for vm := range f.outages(5 * time.Second) {
+			if f.region(vm) == "r0" {
+				t.Errorf("%s has the platform and is not fresh", vm)
+			}
+		}
+		for vm, e := range f.entries {
+			if f.region(vm) != "r0" && e.checkFresh() == nil {
+				t.Errorf("%s lacks the platform and is fresh", vm)
+			}
+		}
+		f.platform.SetFaults(fgstandin.Faults{Down: true})
+		time.Sleep(stopBound)
+		if out := f.outages(time.Second); len(out) != 7 {
+			t.Errorf("contacts are silent, but only these stopped: %v", out)
+		}
+	})
+}
+
+// region places the platform in the first region.
+func (f *fleet) region(vm string) string {
+	if e, ok := f.entries[vm]; ok {
+		return e.settings.raw.Region
+	}
+	return "r0"
+}
+
+// Guards against stale reads and late watch events that revive a key, and
+// against a change that takes longer than 3 s.
+func TestStaleReadDoesNotRevive(t *testing.T) {
+	inBubble(t, 7, func(f *fleet) {
+		f.issue("vm-0")
+		f.withdraw("vm-5")
+		f.platform.SetFaults(fgstandin.Faults{StaleReads: 1000, LateWatchMillis: 4000})
+		time.Sleep(maxStaleness)
+		for range 100 {
+			for vm := range f.entries {
+				if _, ok := f.entries[vm].config.State().Key("k"); ok {
+					t.Fatalf("%s has the key again", vm)
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against a paused process that serves keyed work on waking, or takes
+// messages that lay unread meanwhile for news.
+func TestPausedProcess(t *testing.T) {
+	inBubble(t, 7, func(f *fleet) {
+		f.issue("vm-0")
+		e := f.entries["vm-4"]
+		f.stops["vm-4"]()
+		unread := f.entries["vm-0"].nodeState()
+		time.Sleep(10 * time.Second)
+		if _, err := (&peerService{entry: e}).Exchange(f.t.Context(), unread); err != nil || e.checkFresh() == nil {
+			t.Errorf("fresh on waking, error %v", err)
+		}
+		if err := e.exchangeWith(f.t.Context(), fgmember.Member{PeerAddress: "vm-0"}); err != nil || e.checkFresh() != nil {
+			t.Errorf("not fresh after an answer, error %v", err)
+		}
+	})
+}
+
+// Guards against an age that counts before the peer's generation is applied.
+func TestAgeNeedsGeneration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, entries: map[string]*Entry{}, stops: map[string]func(){}, refused: map[string]bool{}}
+		f.platform.SetFaults(fgstandin.Faults{Down: true})
+		e := f.start("vm-0", 0)
+		defer f.stop()
+		age := int64(0)
+		e.hearFreshness(time.Now(), &fgwire.NodeState{ConfigGeneration: 1, PlatformAgeMs: &age})
+		if e.checkFresh() == nil {
+			t.Error("fresh without the peer's generation")
+		}
+		e.hearFreshness(time.Now(), &fgwire.NodeState{PlatformAgeMs: &age})
+		if e.checkFresh() != nil {
+			t.Error("not fresh at the peer's generation")
+		}
+	})
+}
+
+// Guards against a VM that cannot start while the platform is down.
+func TestNewVMDuringOutage(t *testing.T) {
+	inBubble(t, 7, func(f *fleet) {
+		f.issue("vm-0")
+		f.platform.SetFaults(fgstandin.Faults{Down: true})
+		time.Sleep(5 * time.Second)
+		f.start("vm-7", 1, "vm-2")
+		time.Sleep(3 * time.Second)
+		if !f.honours("vm-7") {
+			t.Errorf("vm-7 is at generation %d, fresh: %v", f.entries["vm-7"].config.Generation(), f.entries["vm-7"].checkFresh())
+		}
+	})
+}
+
+// Guards against requests in flight that outlive their key, also when it was
+// withdrawn between the check of the key and the tracking.
+func TestInFlightIsCut(t *testing.T) {
+	inBubble(t, 2, func(f *fleet) {
+		f.issue("vm-0")
+		e := f.entries["vm-1"]
+		key, _ := e.config.State().Key("k")
+		before, endBefore := e.trackKey(context.Background(), &call{key: key})
+		defer endBefore()
+		f.withdraw("vm-0")
+		time.Sleep(time.Second)
+		late, endLate := e.trackKey(context.Background(), &call{key: key})
+		defer endLate()
+		time.Sleep(withdrawalGrace + time.Second)
+		for _, ctx := range []context.Context{before, late} {
+			if !errors.Is(context.Cause(ctx), errKeyWithdrawn) {
+				t.Errorf("cause is %v", context.Cause(ctx))
+			}
+		}
+		at := time.Now().Add(time.Second)
+		key.Spec().ExpiresAt = &at
+		expiring, end := e.trackKey(context.Background(), &call{key: key})
+		defer end()
+		time.Sleep(time.Second + withdrawalGrace + time.Millisecond)
+		if expiring.Err() == nil {
+			t.Error("not cut after the key expired")
+		}
+	})
+}
+
+// Guards against too many contacts, platform calls that grow with the fleet,
+// writes at VMs that are no contacts, and a status that misses VMs that are not
+// neighbours.
+func TestLargerFleet(t *testing.T) {
+	inBubble(t, 30, func(f *fleet) {
+		members := f.entries["vm-0"].members.State()
+		contacts := members.Contacts()
+		if len(members.All()) != 30 || len(contacts) != 12 {
+			t.Errorf("%d members with %d contacts, want 30 with 12", len(members.All()), len(contacts))
+		}
+		f.issue(contacts[0].VM)
+		time.Sleep(2 * time.Second)
+		if out := f.outages(5 * time.Second); len(out) > 0 {
+			t.Errorf("not fresh: %v", out)
+		}
+		calls := f.platform.Calls()
+		time.Sleep(10 * time.Second)
+		// Two reads per second, two watches per 5 s and a VM list per 5 s.
+		if n := f.platform.Calls() - calls; n > 12*10*3 {
+			t.Errorf("%d platform calls in 10 s from 12 contacts", n)
+		}
+		for vm, e := range f.entries {
+			m, _ := members.Member(vm)
+			p := e.refuseChange()
+			if (p == nil) != m.Contact || p != nil && !strings.Contains(p.Detail(), "VM vm-") {
+				t.Errorf("%s: contact %v, refusal %v", vm, m.Contact, p)
+			}
+			e.askMissing(f.t.Context(), 1)
+			if s := e.statusAt(1); !s.Complete() || s.Since == nil {
+				t.Errorf("%s: in force on %d of %d", vm, s.InForce, s.Members)
+			}
+		}
+	})
+}
+
+// Guards against a stop that waits for the platform, keeps the VM in look-ups
+// for longer than an exchange, or ends before its waiting time.
+func TestStopDuringOutage(t *testing.T) {
+	inBubble(t, 3, func(f *fleet) {
+		f.platform.SetFaults(fgstandin.Faults{Silent: true})
+		e := f.entries["vm-2"]
+		begin := time.Now()
+		done := make(chan time.Duration)
+		go func() {
+			e.stop(context.Background(), &http.Server{})
+			done <- time.Since(begin)
+		}()
+		time.Sleep(4 * oneWay)
+		for _, vm := range []string{"vm-0", "vm-1", "vm-2"} {
+			if !f.entries[vm].reports.Leaving(e.incarnation.String()) {
+				t.Errorf("%s does not know that vm-2 is leaving", vm)
+			}
+		}
+		if d := <-done; d < e.settings.raw.DrainWait || d > e.settings.raw.DrainWait+10*time.Second {
+			t.Errorf("the stop took %v", d)
+		}
+	})
+}
+
+// BenchmarkCheckFresh shows the cost of the check on each keyed request.
+func BenchmarkCheckFresh(b *testing.B) {
+	e := &Entry{fresh: newFreshness()}
+	e.fresh.until.Store(int64(time.Hour))
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if e.checkFresh() != nil {
+				b.Error("not fresh")
+			}
+		}
+	})
+}
+
+// Guards against members that are removed because their VM is not listed yet,
+// that stay after their VM has gone, and leaving VMs that do not stop.
+func TestVMList(t *testing.T) {
+	inBubble(t, 4, func(f *fleet) {
+		list := func(vms ...fgstore.VM) {
+			f.platform.SetVMs(vms)
+			time.Sleep(25 * time.Second)
+		}
+		one, two := fgstore.VM{Name: "vm-1", State: fgstore.VMLive}, fgstore.VM{Name: "vm-2", State: fgstore.VMLive}
+		list(one, two)
+		f.kill("vm-2")
+		f.kill("vm-3")
+		list(fgstore.VM{Name: "vm-1", State: fgstore.VMLeaving})
+		select {
+		case <-f.entries["vm-1"].told:
+		default:
+			t.Error("vm-1 is listed as leaving and does not stop")
+		}
+		s := f.entries["vm-0"].members.State()
+		if _, ok := s.Member("vm-2"); ok {
+			t.Error("vm-2 has left the list and is still a member")
+		}
+		if _, ok := s.Member("vm-3"); !ok {
+			t.Error("vm-3 was removed though it was never listed")
+		}
+		again := f.start("vm-3", 3)
+		time.Sleep(3 * time.Second)
+		if m, _ := f.entries["vm-0"].members.State().Member("vm-3"); m.Incarnation != again.incarnation.String() {
+			t.Error("the newer process of vm-3 has not replaced the older one")
+		}
+	})
+}
--- a/internal/fgentry/membership.go
+++ b/internal/fgentry/membership.go
@@ -15,8 +15,6 @@
 	registerRetryDelay = 500 * time.Millisecond
 	// membershipInterval separates the looks at this process's own record.
 	membershipInterval = time.Second
-	// vmListInterval separates the calls for the VM list.
-	vmListInterval = 5 * time.Second
 	// absencesBeforeRemoval is how many successive lists must lack a VM that was
 	// listed before, because one list may be older than the one before it.
 	absencesBeforeRemoval = 3
@@ -58,7 +56,7 @@
 		case e.members.State().NeedsContact(m):
 			e.changeMembers(ctx, "promote-"+m.Incarnation, fgmember.BuildPromote(m))
 		}
-		if m.Contact && time.Since(listedAt) >= vmListInterval {
+		if m.Contact && time.Since(listedAt) >= e.members.State().VMListInterval() {
 			listedAt = time.Now()
 			e.followVMList(ctx, &lists)
 		}
--- a/internal/fgentry/operator.go
+++ b/internal/fgentry/operator.go
@@ -72,12 +72,7 @@
 		fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "changeId is empty").Write(w, "")
 		return
 	}
-	generation, err := e.config.Submit(r.Context(), in.ChangeID, func(s *fgconfig.Snapshot) (json.RawMessage, error) {
-		if err := s.Check(in.Change); err != nil {
-			return nil, err
-		}
-		return json.Marshal(in.Change)
-	})
+	generation, err := e.config.Submit(r.Context(), in.ChangeID, buildChange(in.Change))
 	if err != nil {
 		changeProblem(err).Write(w, "")
 		return
@@ -86,6 +81,16 @@
 	writeJSON(w, ChangeAnswer{Generation: generation})
 }
 
+// buildChange returns a payload builder that checks a change.
+func buildChange(c fgconfig.Change) func(*fgconfig.Snapshot) (json.RawMessage, error) {
+	return func(s *fgconfig.Snapshot) (json.RawMessage, error) {
+		if err := s.Check(c); err != nil {
+			return nil, err
+		}
+		return json.Marshal(c)
+	}
+}
+
 // refuseChange returns the reason why this VM accepts no changes, or nil.
 func (e *Entry) refuseChange() *fgproblem.Problem {
 	m, ok := e.ownRecord()
--- /dev/null
+++ b/internal/fgstandin/platform_test.go
@@ -0,0 +1,37 @@
+package fgstandin
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+)
+
+// Guards against a stand-in that is kinder than the platform: rates, leases and
+// writes that land late.
+func TestPlatformFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &Platform{}
+		id, err := p.Grant(t.Context(), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(900 * time.Millisecond)
+		first := p.KeepAlive(t.Context(), id)
+		time.Sleep(time.Second)
+		if second := p.KeepAlive(t.Context(), id); first != nil || !errors.Is(second, fgstore.ErrNotFound) {
+			t.Errorf("keep-alives returned %v and %v", first, second)
+		}
+		p.SetFaults(Faults{WritesPerSecond: 1, DelayWrites: 1, DelayWriteMillis: 100})
+		_, late := p.CompareAndSwap(t.Context(), "k", 0, nil)
+		_, refused := p.CompareAndSwap(t.Context(), "k", 0, nil)
+		_, before := p.Get(t.Context(), "k")
+		time.Sleep(time.Second)
+		_, after := p.Get(t.Context(), "k")
+		if !errors.Is(late, fgstore.ErrUnknown) || !errors.Is(refused, fgstore.ErrUnavailable) || !errors.Is(before, fgstore.ErrNotFound) || after != nil {
+			t.Errorf("results are %v, %v, %v, %v", late, refused, before, after)
+		}
+	})
+}
--- a/internal/transport/fgplatform/client.go
+++ b/internal/transport/fgplatform/client.go
@@ -6,8 +6,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -104,7 +106,7 @@
 	}
 	res, err := c.client.Do(req)
 	if err != nil {
-		return fmt.Errorf("%w: %w", fgstore.ErrUnknown, err)
+		return fmt.Errorf("%w: %w", callError(err), err)
 	}
 	defer func() { _ = res.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
@@ -123,6 +125,16 @@
 	return nil
 }
 
+// callError tells whether a call without an answer can have taken effect: it
+// cannot if no connection was made.
+func callError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fgstore.ErrUnavailable
+	}
+	return fgstore.ErrUnknown
+}
+
 func statusError(status int) error {
 	switch status {
 	case http.StatusOK:
