--- a/internal/fgentry/freshness.go
+++ b/internal/fgentry/freshness.go
@@ -1,7 +1,10 @@
 package fgentry
 
 import (
+	"context"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +22,10 @@
 	// quietAge is the age of the newest platform answer below which statements
 	// about unanswered calls are not sent: nobody needs them then.
 	quietAge = time.Second
+	// askContactBefore is how long before the end of its permission a process asks
+	// a contact directly. In large fleets the ages that cross the overlay can be
+	// older than maxStaleness.
+	askContactBefore = 1500 * time.Millisecond
 	// staleRetryAfter is suggested to callers whose keyed request was refused.
 	staleRetryAfter = 2 * time.Second
 )
@@ -58,6 +65,29 @@
 		"this VM cannot tell whether its configuration is the newest one").WithRetryAfter(staleRetryAfter)
 }
 
+// freshFor returns for how long keyed work is still served.
+func (e *Entry) freshFor() time.Duration {
+	return time.Duration(e.fresh.until.Load()) - time.Since(e.fresh.start)
+}
+
+// askContact asks one contact, of this availability zone if there is one, when
+// the permission to serve keyed work is about to end.
+func (e *Entry) askContact(ctx context.Context) {
+	contacts := e.members.State().Contacts()
+	if e.freshFor() > askContactBefore || e.followsPlatform() || len(contacts) == 0 {
+		return
+	}
+	near := slices.DeleteFunc(slices.Clone(contacts), func(m fgmember.Member) bool {
+		return m.AvailabilityZone != e.settings.raw.AvailabilityZone
+	})
+	if len(near) > 0 && e.freshFor() > 0 {
+		contacts = near
+	}
+	if err := e.exchangeWith(ctx, contacts[rand.IntN(len(contacts))]); err != nil {
+		e.logger.V(1).Info("contact not asked", "error", err.Error())
+	}
+}
+
 // observePlatform records an answer to this process's own call.
 func (e *Entry) observePlatform(sent time.Time, a fgsync.Answer) {
 	f := e.fresh
--- a/internal/fgentry/freshness_test.go
+++ b/internal/fgentry/freshness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -175,6 +176,15 @@
 		f.issue("vm-0")
 		e := f.entries["vm-1"]
 		key, _ := e.config.State().Key("k")
+		at := time.Now().Add(time.Second)
+		key.Spec().ExpiresAt = &at
+		expiring, end := e.trackKey(context.Background(), &call{key: key})
+		time.Sleep(time.Second + withdrawalGrace + time.Millisecond)
+		if expiring.Err() == nil {
+			t.Error("not cut after the key expired")
+		}
+		end()
+		key.Spec().ExpiresAt = nil
 		before, endBefore := e.trackKey(context.Background(), &call{key: key})
 		defer endBefore()
 		f.withdraw("vm-0")
@@ -187,14 +197,6 @@
 				t.Errorf("cause is %v", context.Cause(ctx))
 			}
 		}
-		at := time.Now().Add(time.Second)
-		key.Spec().ExpiresAt = &at
-		expiring, end := e.trackKey(context.Background(), &call{key: key})
-		defer end()
-		time.Sleep(time.Second + withdrawalGrace + time.Millisecond)
-		if expiring.Err() == nil {
-			t.Error("not cut after the key expired")
-		}
 	})
 }
 
@@ -271,6 +273,31 @@
 	})
 }
 
+// Guards against keyed work that stops in a fleet that is several hops wide,
+// because each hop adds up to an interval to the age of the platform's answer.
+func TestAgesCrossLargeFleet(t *testing.T) {
+	inBubble(t, 0, func(f *fleet) {
+		for i := range 120 {
+			f.start(fmt.Sprintf("vm-%d", i), 0)
+		}
+		time.Sleep(30 * time.Second)
+		members := f.entries["vm-0"].members.State()
+		if len(members.All()) != 120 || len(members.Contacts()) != 2 {
+			t.Fatalf("%d members, %d contacts", len(members.All()), len(members.Contacts()))
+		}
+		if out := f.outages(5 * time.Second); len(out) > 0 {
+			t.Errorf("%d VMs were not fresh: %v", len(out), out)
+		}
+		asking := 0
+		for _, e := range f.entries {
+			if e.freshFor() <= askContactBefore {
+				asking++
+			}
+		}
+		t.Logf("%d of %d VMs are about to ask a contact", asking, len(f.entries))
+	})
+}
+
 // Guards against members that are removed because their VM is not listed yet,
 // that stay after their VM has gone, and leaving VMs that do not stop.
 func TestVMList(t *testing.T) {
--- a/internal/fgentry/peers.go
+++ b/internal/fgentry/peers.go
@@ -82,6 +82,7 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { e.reportSelf(ctx) })
+	wg.Go(func() { e.askContacts(ctx) })
 	for range fetchWorkers {
 		wg.Go(func() { e.fetchLoop(ctx) })
 	}
@@ -148,6 +149,14 @@
 	}
 }
 
+// askContacts asks a contact at each interval at which that is needed.
+func (e *Entry) askContacts(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.askContact(ctx)
+		wait(ctx, e.members.State().ExchangeInterval())
+	}
+}
+
 // wait returns after the exchange interval, or at once when there is news.
 func (e *Entry) wait(ctx context.Context, config, members <-chan struct{}) {
 	t := time.NewTimer(e.members.State().ExchangeInterval())
