Prove the newest configuration by a swap after a lapse

TestNoOrderOfFaultsRevivesKey parts the fleet and disturbs the platform at random and asks whether any VM honours a key more than 3 s after its withdrawal was accepted. Raising the number of reads would not help. A process whose permission has ended now writes the head again as it is; a swap cannot succeed on an old value. This costs one write per contact and lapse.

A contact's statement that the platform does not answer now counts, like an age, only once the peer's generation is applied: the contact may have accepted a withdrawal just before. The permission of a process that has just started was valid for the instant of its start, because the comparison included the end.

--- a/internal/coordination/fgsync/follow.go
+++ b/internal/coordination/fgsync/follow.go
@@ -87,7 +87,22 @@
 func (r *Replica[S]) poll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	return r.Refresh(ctx)
+	lapsed := r.lapsed()
+	if err := r.Refresh(ctx); err != nil || !lapsed {
+		return err
+	}
+	return r.prove(ctx)
+}
+
+func (r *Replica[S]) lapsed() bool { return r.options.Lapsed != nil && r.options.Lapsed() }
+
+// prove writes the head again as it is. Unlike a read, a swap cannot succeed on
+// an old value, so it shows that the replica holds the newest one. A conflict
+// means that it does not; the next poll tries again.
+func (r *Replica[S]) prove(ctx context.Context) error {
+	base := r.current.Load()
+	_, err := r.swap(ctx, base, base.head)
+	return err
 }
 
 // Refresh reads the platform's value once.
@@ -107,11 +122,11 @@
 	return r.judge(ctx, sent, v)
 }
 
-// judge absorbs an answer. A value older than what the replica knows is a stale
-// read, which proves nothing about the newest value.
+// judge absorbs the answer of a read. A value older than what the replica knows
+// is a stale read, which proves nothing about the newest value.
 func (r *Replica[S]) judge(ctx context.Context, sent time.Time, v fgstore.Value) error {
 	err := r.absorb(ctx, v)
-	if err != nil || v.Revision < r.current.Load().revision {
+	if err != nil || v.Revision < r.current.Load().revision || r.lapsed() {
 		r.observe(sent, AnswerReached)
 		return err
 	}
--- a/internal/coordination/fgsync/replica.go
+++ b/internal/coordination/fgsync/replica.go
@@ -60,7 +60,11 @@
 	// Observe receives the answers of the platform with the time at which the
 	// call was sent. Nil ignores them.
 	Observe func(sent time.Time, a Answer)
-	Logger  logr.Logger
+	// Lapsed reports that this process was without proof of the newest value for
+	// so long that reads, which may be stale, no longer count as one. Nil means
+	// that they always count.
+	Lapsed func() bool
+	Logger logr.Logger
 }
 
 // Replica is a copy of a journal. Its state only moves to higher generations.
--- a/internal/coordination/fgsync/submit.go
+++ b/internal/coordination/fgsync/submit.go
@@ -116,9 +116,10 @@
 	if err != nil {
 		return 0, err
 	}
-	err = r.judge(ctx, sent, fgstore.Value{Key: r.options.Key, Data: data, Revision: revision})
-	if err != nil {
+	if err := r.absorb(ctx, fgstore.Value{Key: r.options.Key, Data: data, Revision: revision}); err != nil {
 		r.options.Logger.Error(err, "own change not applied", "journal", r.options.Key, "generation", head.Generation)
+		return head.Generation, nil
 	}
+	r.observe(sent, AnswerCurrent)
 	return head.Generation, nil
 }
--- a/internal/fgentry/fleet_test.go
+++ b/internal/fgentry/fleet_test.go
@@ -178,17 +178,27 @@
 	}
 }
 
-// issue declares a key, and withdraw deletes it.
-func (f *fleet) issue(vm string) {
-	f.change(vm, "issue", fgconfig.Change{Put: []fgapi.Resource{
+// issued declares a key, and withdrawal deletes it.
+func issued() fgconfig.Change {
+	return fgconfig.Change{Put: []fgapi.Resource{
 		{APIVersion: fgapi.Version, Kind: fgapi.KindWorkspace, Metadata: fgapi.Metadata{Name: "w"}, Spec: &fgapi.WorkspaceSpec{RequestsPerSecond: 1, Burst: 1}},
 		{APIVersion: fgapi.Version, Kind: fgapi.KindKey, Metadata: fgapi.Metadata{Name: "k"}, Spec: &fgapi.KeySpec{Workspace: "w"}},
-	}})
+	}}
+}
+
+func withdrawal() fgconfig.Change {
+	return fgconfig.Change{Delete: []fgapi.Ref{{Kind: fgapi.KindKey, Name: "k"}}}
+}
+
+func (f *fleet) issue(vm string) {
+	f.t.Helper()
+	f.change(vm, "issue", issued())
 	time.Sleep(time.Second)
 }
 
 func (f *fleet) withdraw(vm string) {
-	f.change(vm, "withdraw", fgconfig.Change{Delete: []fgapi.Ref{{Kind: fgapi.KindKey, Name: "k"}}})
+	f.t.Helper()
+	f.change(vm, "withdraw", withdrawal())
 }
 
 // honours reports whether a VM would run a request with the key.
--- a/internal/fgentry/freshness.go
+++ b/internal/fgentry/freshness.go
@@ -58,7 +58,7 @@
 // checkFresh refuses keyed work while the configuration may lack a withdrawal
 // that others have accepted.
 func (e *Entry) checkFresh() error {
-	if time.Since(e.fresh.start) <= time.Duration(e.fresh.until.Load()) {
+	if time.Since(e.fresh.start) < time.Duration(e.fresh.until.Load()) {
 		return nil
 	}
 	return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodeStale,
@@ -110,13 +110,17 @@
 }
 
 // hearFreshness records a peer's answer to a call sent at a time. Only answers
-// count, because a message may lie unread while this process is paused. The
-// age counts only if this process applies what the peer applied.
+// count, because a message may lie unread while this process is paused. They
+// count only if this process applies what the peer applied: a contact may have
+// accepted a withdrawal before it lost the platform.
 func (e *Entry) hearFreshness(sent time.Time, n *fgwire.NodeState) {
 	f := e.fresh
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n.PlatformAgeMs != nil && e.config.Generation() >= n.GetConfigGeneration() {
+	if e.config.Generation() < n.GetConfigGeneration() {
+		return
+	}
+	if n.PlatformAgeMs != nil {
 		f.hearAnswer(sent.Add(-milliseconds(n.GetPlatformAgeMs())))
 	}
 	for _, c := range n.GetContacts() {
--- a/internal/fgentry/freshness_test.go
+++ b/internal/fgentry/freshness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgsync"
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 )
@@ -23,7 +25,7 @@
 // Guards against a platform outage that stops keyed work, whether calls are
 // refused or hang, and whether or not a process has died meanwhile.
 func TestOutageWithAllContacts(t *testing.T) {
-	for _, faults := range []fgstandin.Faults{{Down: true}, {Silent: true}} {
+	for _, faults := range []fgstandin.Faults{{Down: true}, {Silent: true}, {DelayMillis: 1500}} {
 		inBubble(t, 7, func(f *fleet) {
 			f.issue("vm-0")
 			f.platform.SetFaults(faults)
@@ -136,7 +138,8 @@
 	})
 }
 
-// Guards against an age that counts before the peer's generation is applied.
+// Guards against an age or a contact's statement that counts before the peer's
+// generation is applied, and against a failed call that outweighs a later answer.
 func TestAgeNeedsGeneration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{t: t, entries: map[string]*Entry{}, stops: map[string]func(){}, refused: map[string]bool{}}
@@ -144,9 +147,15 @@
 		e := f.start("vm-0", 0)
 		defer f.stop()
 		age := int64(0)
-		e.hearFreshness(time.Now(), &fgwire.NodeState{ConfigGeneration: 1, PlatformAgeMs: &age})
-		if e.checkFresh() == nil {
-			t.Error("fresh without the peer's generation")
+		e.hearFreshness(time.Now(), &fgwire.NodeState{ConfigGeneration: 1, PlatformAgeMs: &age, Contacts: []*fgwire.ContactState{{Incarnation: "c"}}})
+		if _, ok := e.fresh.statements["c"]; ok || e.checkFresh() == nil {
+			t.Error("counted without the peer's generation")
+		}
+		e.observePlatform(time.Now(), fgsync.AnswerReached)
+		time.Sleep(time.Millisecond)
+		e.observePlatform(time.Now().Add(-time.Second), fgsync.AnswerNone)
+		if !e.fresh.statements[e.incarnation.String()].reaches {
+			t.Error("a failed call outweighs a later answer")
 		}
 		e.hearFreshness(time.Now(), &fgwire.NodeState{PlatformAgeMs: &age})
 		if e.checkFresh() != nil {
@@ -298,6 +307,69 @@
 	})
 }
 
+// Guards against any order of partitions, outages, slow, stale and late answers
+// in which a VM honours a key for more than 3 s after its withdrawal was
+// accepted anywhere.
+func TestNoOrderOfFaultsRevivesKey(t *testing.T) {
+	for seed := range uint64(12) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		accepted := 0
+		inBubble(t, 7, func(f *fleet) {
+			for range 15 {
+				f.calm()
+				f.change("vm-0", fmt.Sprint("issue-", random.Uint64()), issued())
+				f.disturb(random)
+				withdrawn := f.attempt(random)
+				if !withdrawn {
+					continue
+				}
+				accepted++
+				time.Sleep(maxStaleness + time.Millisecond)
+				for i := range 100 {
+					for vm := range f.entries {
+						if f.honours(vm) {
+							t.Fatalf("seed %d: %s honours the key", seed, vm)
+						}
+					}
+					if i%40 == 39 {
+						f.disturb(random)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+		})
+		t.Logf("seed %d: %d withdrawals accepted", seed, accepted)
+	}
+}
+
+// calm ends all faults and waits until the fleet has recovered.
+func (f *fleet) calm() {
+	f.sever(nil)
+	f.platform.SetFaults(fgstandin.Faults{})
+	time.Sleep(5 * time.Second)
+}
+
+// disturb parts the fleet and the platform at random, and waits a little.
+func (f *fleet) disturb(random *rand.Rand) {
+	side := map[string]bool{}
+	for vm := range 7 {
+		side[fmt.Sprint("vm-", vm)] = random.IntN(2) == 0
+	}
+	f.sever(func(a, b string) bool { return side[a] != side[b] })
+	faults := []fgstandin.Faults{{}, {}, {Down: true}, {Silent: true}, {DelayMillis: 1500}, {StaleReads: 10}, {LateWatchMillis: 5000}, {LoseAnswers: 2}}
+	f.platform.SetFaults(faults[random.IntN(len(faults))])
+	time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+}
+
+// attempt withdraws the key at a random VM and reports whether that was accepted.
+func (f *fleet) attempt(random *rand.Rand) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	vm := fmt.Sprint("vm-", random.IntN(7))
+	_, err := f.entries[vm].config.Submit(ctx, fmt.Sprint("withdraw-", random.Uint64()), buildChange(withdrawal()))
+	return err == nil
+}
+
 // Guards against members that are removed because their VM is not listed yet,
 // that stay after their VM has gone, and leaving VMs that do not stop.
 func TestVMList(t *testing.T) {
