--- a/internal/coordination/fgledger/fleet_test.go
+++ b/internal/coordination/fgledger/fleet_test.go
@@ -210,6 +210,8 @@
 
 func (n *node) Delete(context.Context, string, uint64) error { return fgstore.ErrUnavailable }
 
+func (n *node) Range(context.Context, string) ([]string, error) { return nil, fgstore.ErrUnavailable }
+
 func (n *node) Watch(ctx context.Context, key string, after uint64) (fgstore.Value, error) {
 	defer n.await()
 	return n.fleet.platform.Watch(ctx, key, after)
--- a/internal/fgcommand/dev.go
+++ b/internal/fgcommand/dev.go
@@ -234,7 +234,7 @@
 	if err != nil {
 		return err
 	}
-	e := fgentry.New(settings, client, d.logger)
+	e := fgentry.New(settings, client, client, d.logger)
 	if err := e.Listen(); err != nil {
 		return err
 	}
--- a/internal/fgentry/limitservice.go
+++ b/internal/fgentry/limitservice.go
@@ -116,7 +116,7 @@
 }
 
 func (l *limits) client(ctx context.Context, m fgmember.Member) fgwire.DRPCPeerClient {
-	return fgwire.NewDRPCPeerClient(l.entry.dialer.RPC(ctx, m.PeerAddress))
+	return l.entry.peer(ctx, m.PeerAddress)
 }
 
 // Lower asks a member to hold fewer units.
--- a/internal/fgentry/lookup.go
+++ b/internal/fgentry/lookup.go
@@ -37,7 +37,7 @@
 	members := e.placer.Lookup(fgplacement.Lookup{
 		Caller: callerAddress(r),
 		Region: r.URL.Query().Get("region"),
-		Alive:  e.reports.Alive,
+		Alive:  func(incarnation string) bool { return e.reports.Alive(incarnation) && !e.reports.Leaving(incarnation) },
 	})
 	for _, m := range members {
 		answer.VMs = append(answer.VMs, LookupVM{
--- a/internal/fgentry/operator.go
+++ b/internal/fgentry/operator.go
@@ -19,6 +19,7 @@
 	"github.com/filbertgap/filbertgap/internal/coordination/fgsync"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/internal/state/fgjournal"
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
 )
 
@@ -93,6 +94,10 @@
 }
 
 func (e *Entry) handleChange(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	if p := e.refuseChange(); p != nil {
+		p.Write(w, "")
+		return
+	}
 	changeID, change, err := readChange(w, r)
 	if errors.Is(err, fgapi.ErrInvalid) {
 		changeProblem(err).Write(w, "")
@@ -102,12 +107,7 @@
 		fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, err.Error()).Write(w, "")
 		return
 	}
-	generation, err := e.config.Submit(r.Context(), changeID, func(s *fgconfig.Snapshot) (json.RawMessage, error) {
-		if err := s.Check(change); err != nil {
-			return nil, err
-		}
-		return json.Marshal(change)
-	})
+	generation, err := e.config.Submit(r.Context(), changeID, buildChange(change))
 	if err != nil {
 		changeProblem(err).Write(w, "")
 		return
@@ -116,10 +116,42 @@
 	writeJSON(w, ChangeAnswer{Generation: generation})
 }
 
+// buildChange returns a payload builder that checks a change.
+func buildChange(c fgconfig.Change) func(*fgconfig.Snapshot) (json.RawMessage, error) {
+	return func(s *fgconfig.Snapshot) (json.RawMessage, error) {
+		if err := s.Check(c); err != nil {
+			return nil, err
+		}
+		return json.Marshal(c)
+	}
+}
+
+// refuseChange returns the reason why this VM accepts no changes, or nil.
+func (e *Entry) refuseChange() *fgproblem.Problem {
+	m, ok := e.ownRecord()
+	if ok && m.Contact && !e.leaving.Load() {
+		return nil
+	}
+	if !ok && !e.leaving.Load() {
+		return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodePlatform, "this VM has not registered with the platform yet").
+			WithRetryAfter(submitRetryAfter)
+	}
+	detail := "this VM accepts no changes"
+	for _, c := range e.members.State().Contacts() {
+		if e.reports.Alive(c.Incarnation) && c.VM != e.settings.raw.VM {
+			detail += "; send them to VM " + c.VM + " in " + c.AvailabilityZone
+			break
+		}
+	}
+	return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodeNotContact, detail).WithRetryAfter(submitRetryAfter)
+}
+
 func changeProblem(err error) *fgproblem.Problem {
 	switch {
-	case errors.Is(err, fgapi.ErrInvalid):
+	case errors.Is(err, fgapi.ErrInvalid), errors.Is(err, fgjournal.ErrTooLarge), errors.Is(err, fgjournal.ErrChangeID):
 		return fgproblem.New(http.StatusUnprocessableEntity, fgproblem.CodeInvalid, err.Error())
+	case errors.Is(err, fgstore.ErrUnknown):
+		return unansweredChange(err)
 	case errors.Is(err, fgconfig.ErrConflict), errors.Is(err, fgsync.ErrBusy):
 		return fgproblem.New(http.StatusConflict, fgproblem.CodeConflict, err.Error())
 	case errors.Is(err, fgconfig.ErrNotFound):
@@ -127,11 +159,16 @@
 	case errors.Is(err, fgstore.ErrUnavailable):
 		return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodePlatform, err.Error()).WithRetryAfter(submitRetryAfter)
 	default:
-		return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodePlatform, err.Error()).
-			WithOutcome(fgproblem.Unknown).WithRetryAfter(submitRetryAfter)
+		return unansweredChange(err)
 	}
 }
 
+// unansweredChange tells an operator that a change may have been accepted.
+func unansweredChange(err error) *fgproblem.Problem {
+	return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodePlatform, err.Error()).
+		WithOutcome(fgproblem.Unknown).WithRetryAfter(submitRetryAfter)
+}
+
 // maxWatchWait bounds how long a watch is held without a change.
 const maxWatchWait = 30 * time.Second
 
@@ -160,6 +197,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
+	e.askMissing(r.Context(), e.config.Generation())
 	body, tag := e.watchResources(ctx, kind, q.Get("name"), r.Header.Get("If-None-Match"))
 	w.Header().Set("ETag", tag)
 	if tag == r.Header.Get("If-None-Match") {
@@ -214,21 +252,6 @@
 	return out
 }
 
-// statusAt counts the members that apply a generation.
-func (e *Entry) statusAt(generation uint64) *fgapi.Status {
-	out := &fgapi.Status{ObservedGeneration: e.config.Generation()}
-	for _, m := range e.members.State().All() {
-		out.Members++
-		report, ok := e.reports.Get(m.Incarnation)
-		if ok && report.ConfigGeneration() >= generation {
-			out.InForce++
-			continue
-		}
-		out.Missing = append(out.Missing, m.VM)
-	}
-	return out
-}
-
 // FleetStatus describes the fleet as one VM sees it.
 type FleetStatus struct {
 	VM         string            `json:"vm"`
@@ -246,6 +269,7 @@
 			return
 		}
 	}
+	e.askMissing(r.Context(), generation)
 	writeJSON(w, FleetStatus{
 		VM:         e.settings.raw.VM,
 		Generation: e.config.Generation(),
--- a/internal/fgentry/settings.go
+++ b/internal/fgentry/settings.go
@@ -24,6 +24,7 @@
 	CallerAdvertise   string
 	PeerListen        string
 	PeerAdvertise     string
+	PeerSeeds         []string
 	OperatorListen    string
 	MetricsListen     string
 	Platform          string
@@ -72,6 +73,9 @@
 	errs = append(errs, err)
 	s.operatorTLS, err = readTLS("operator", r.OperatorTLSCertFile, r.OperatorTLSKeyFile)
 	errs = append(errs, err)
+	for _, seed := range r.PeerSeeds {
+		errs = append(errs, address("peer-seeds", seed))
+	}
 	secret, err := readSecretFile("fleet-secret-file", r.FleetSecretFile)
 	if err == nil {
 		s.fleetSecret, err = fgpeer.NewSecret([]byte(secret))
--- a/internal/fgentry/suspectservice.go
+++ b/internal/fgentry/suspectservice.go
@@ -66,15 +66,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // spreadSuspects tells the region's peers, and returns when they know.
 func (e *Entry) spreadSuspects(news []fgsuspect.State) {
 	if len(news) == 0 {
--- a/internal/protocol/fgproblem/problem.go
+++ b/internal/protocol/fgproblem/problem.go
@@ -50,6 +50,7 @@
 	CodeConflict         Code = "conflict"
 	CodeNotFound         Code = "not-found"
 	CodePlatform         Code = "platform-unavailable"
+	CodeNotContact       Code = "not-a-contact"
 )
 
 // Codes returns every code, for metrics that begin at zero and for the pages.
@@ -57,7 +58,7 @@
 	return []Code{
 		CodeNoRoute, CodeMethodNotAllowed, CodeKeyMissing, CodeKeyInvalid, CodeKeyInURL, CodeKeyInBody,
 		CodeRateExceeded, CodeNoCapacity, CodeNoUpstream, CodeUpstreamLost, CodeDeadline, CodeStale,
-		CodeCrashes, CodeAlreadyRan, CodeIDReused, CodeOutcomeUnknown, CodeLeaving, CodeBadRequest, CodeUnauthorized,
+		CodeCrashes, CodeAlreadyRan, CodeIDReused, CodeNotContact, CodeOutcomeUnknown, CodeLeaving, CodeBadRequest, CodeUnauthorized,
 		CodeInvalid, CodeConflict, CodeNotFound, CodePlatform,
 	}
 }
