Supervise the parts of an entry and complete its metrics

Cause: background loops were started without an owner that reads their end, so a failed peer listener left a process that looked well. Each part now reports its end on a channel; an early end stops the entry gracefully with that error.

A request that is cut because its key was withdrawn is refused as key-invalid instead of deadline-exceeded. Headroom, generation and the drain time of a stopping VM are measured. refused_within_rate for rate refusals still lacks the fleet's view.

--- a/internal/fgentry/body.go
+++ b/internal/fgentry/body.go
@@ -125,7 +125,7 @@
 		return p
 	}
 	if ctx.Err() != nil {
-		return deadlinePassed()
+		return deadlinePassed(ctx)
 	}
 	return fgproblem.New(http.StatusBadRequest, fgproblem.CodeBadRequest, "the body was cut")
 }
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -178,45 +178,51 @@
 func (e *Entry) Run(ctx context.Context) error {
 	e.logger.Info("entry starts", "vm", e.settings.raw.VM, "incarnation", e.incarnation.String(),
 		"caller", e.CallerAddress(), "peer", e.PeerAddress(), "operator", e.OperatorAddress())
-	// Background work outlives ctx, so that it goes on during the graceful stop.
-	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	var wg conc.WaitGroup
-	defer wg.Wait()
-	defer cancel()
-	wg.Go(func() { e.runState(background) })
-	wg.Go(func() { e.servePeers(background) })
-	wg.Go(func() { e.runLimits(background) })
-	wg.Go(func() { e.runPlacement(background) })
-
 	caller := e.httpServer(e.callerHandler())
 	operator := e.httpServer(e.operatorHandler())
 	metrics := e.httpServer(e.metricsHandler())
-	failed := make(chan error, 3)
-	wg.Go(func() { failed <- serveHTTP(caller, e.listeners.caller) })
-	wg.Go(func() { failed <- serveHTTP(operator, e.listeners.operator) })
-	wg.Go(func() { failed <- serveHTTP(metrics, e.listeners.metrics) })
-
-	var err error
-	select {
-	case <-ctx.Done():
-	case <-e.told:
-	case err = <-failed:
-	}
+	// The parts outlive ctx, so that they go on during the graceful stop.
+	background := context.WithoutCancel(ctx)
+	running := startParts(background,
+		part{"state", e.runState},
+		part{"peers", e.servePeers},
+		loop("limits", e.runLimits),
+		loop("placement", e.runPlacement),
+		loop("metrics", e.runMetrics),
+		serverPart("caller listener", caller, e.listeners.caller),
+		serverPart("operator listener", operator, e.listeners.operator),
+		serverPart("metrics listener", metrics, e.listeners.metrics),
+	)
+	defer running.stop()
+	err := running.wait(ctx, e.told)
+	began := time.Now()
 	e.stop(background, caller)
+	e.metrics.DrainEnded("VM", time.Since(began))
 	_ = operator.Close()
 	_ = metrics.Close()
 	return err
 }
 
 // runState keeps this process's copy of the fleet's state.
-func (e *Entry) runState(ctx context.Context) {
-	var wg conc.WaitGroup
-	defer wg.Wait()
-	wg.Go(func() { _ = e.config.Run(ctx) })
-	wg.Go(func() { _ = e.members.Run(ctx) })
-	wg.Go(func() { e.exchangeLoop(ctx) })
-	wg.Go(func() { e.runMembership(ctx) })
-	wg.Go(func() { e.runWithdrawals(ctx) })
+func (e *Entry) runState(ctx context.Context) error {
+	running := startParts(ctx,
+		part{"configuration", e.config.Run},
+		part{"members", e.members.Run},
+		loop("exchange", e.exchangeLoop),
+		loop("membership", e.runMembership),
+		loop("withdrawals", e.runWithdrawals),
+	)
+	defer running.stop()
+	return running.wait(ctx, nil)
+}
+
+// serverPart serves HTTP until the server is closed.
+func serverPart(name string, s *http.Server, l net.Listener) part {
+	return part{name: name, run: func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+		defer stop()
+		return serveHTTP(s, l)
+	}}
 }
 
 func (e *Entry) httpServer(h http.Handler) *http.Server {
@@ -231,16 +237,13 @@
 	return err
 }
 
-func (e *Entry) servePeers(ctx context.Context) {
+func (e *Entry) servePeers(ctx context.Context) error {
 	mux := drpcmux.New()
 	if err := fgwire.DRPCRegisterPeer(mux, &peerService{entry: e}); err != nil {
-		e.logger.Error(err, "register the peer service")
-		return
+		return err
 	}
 	s := fgpeer.NewServer(fgpeer.ServerOptions{Secret: e.settings.fleetSecret, RPC: mux, HTTP: e.forwardedHandler(), Logger: e.logger})
-	if err := s.Serve(ctx, e.listeners.peer); err != nil && ctx.Err() == nil {
-		e.logger.Error(err, "peer listener failed")
-	}
+	return s.Serve(ctx, e.listeners.peer)
 }
 
 // stop leaves the fleet without cutting a request: the VM disappears from
--- a/internal/fgentry/metrics.go
+++ b/internal/fgentry/metrics.go
@@ -1,9 +1,32 @@
 package fgentry
 
 import (
+	"context"
+	"time"
+
 	"github.com/filbertgap/filbertgap/internal/fgmetrics"
 )
 
+// headroomInterval separates updates of the gauges.
+const headroomInterval = time.Second
+
+// runMetrics updates the gauges until the context ends.
+func (e *Entry) runMetrics(ctx context.Context) {
+	ticker := time.NewTicker(headroomInterval)
+	defer ticker.Stop()
+	for {
+		for _, c := range e.placer.Capacities() {
+			e.metrics.SetHeadroom(c.Group, c.Free, c.Total)
+		}
+		e.metrics.SetGeneration(e.config.Generation())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // observe records how a call ended. It runs deferred, so that a call whose
 // answer was cut by a panic counts as well.
 func (c *call) observe(m fgmetrics.Request) {
--- a/internal/fgentry/once.go
+++ b/internal/fgentry/once.go
@@ -143,7 +143,7 @@
 	select {
 	case <-claim.Done():
 	case <-r.Context().Done():
-		return deadlinePassed().WithOutcome(fgproblem.Unknown)
+		return deadlinePassed(r.Context()).WithOutcome(fgproblem.Unknown)
 	}
 	switch o := claim.Outcome().(type) {
 	case fgdedupe.Answer:
--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -175,13 +175,17 @@
 	case errors.As(err, &p):
 		return p
 	case ctx.Err() != nil:
-		return deadlinePassed()
+		return deadlinePassed(ctx)
 	default:
 		return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodeNoCapacity, err.Error())
 	}
 }
 
-func deadlinePassed() *fgproblem.Problem {
+// deadlinePassed refuses a call whose context has ended.
+func deadlinePassed(ctx context.Context) *fgproblem.Problem {
+	if errors.Is(context.Cause(ctx), errKeyWithdrawn) {
+		return fgproblem.New(http.StatusUnauthorized, fgproblem.CodeKeyInvalid, "the key was withdrawn or has expired while the request ran")
+	}
 	return fgproblem.New(http.StatusGatewayTimeout, fgproblem.CodeDeadline, "the request's deadline passed, or its caller left")
 }
 
@@ -308,12 +312,12 @@
 	case o == fgupstream.Refused:
 		return resultShed, noCapacity("the upstream refused the request")
 	case o == fgupstream.Unreached && ended:
-		return resultCancelled, deadlinePassed()
+		return resultCancelled, deadlinePassed(c.sendContext)
 	case o == fgupstream.Unreached:
 		return resultUnreached, fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodeUpstreamLost, "the upstream cannot be reached").
 			WithRetryAfter(shedRetryAfter)
 	case ended:
-		return resultCancelled, deadlinePassed().WithOutcome(fgproblem.Unknown)
+		return resultCancelled, deadlinePassed(c.sendContext).WithOutcome(fgproblem.Unknown)
 	default:
 		e.logger.V(1).Info("connection lost", "requestId", c.id, "error", cause.Error())
 		return resultLost, fgproblem.New(http.StatusBadGateway, fgproblem.CodeUpstreamLost, "the connection broke before an answer came").
