--- a/internal/coordination/fgledger/fleet_test.go
+++ b/internal/coordination/fgledger/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
 	"github.com/filbertgap/filbertgap/internal/state/fgjournal"
 	"github.com/filbertgap/filbertgap/internal/state/fgshare"
+	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 )
 
 const (
@@ -117,7 +118,7 @@
 				p.borrower.Update()
 			}
 		}
-		sleep(n.fleet.ctx, 500*time.Millisecond)
+		_ = fgtimer.Wait(n.fleet.ctx, 500*time.Millisecond)
 	}
 }
 
@@ -139,7 +140,7 @@
 // await stops a paused or dead process where it is.
 func (n *node) await() {
 	for (n.paused.Load() || n.dead.Load()) && n.fleet.ctx.Err() == nil {
-		sleep(n.fleet.ctx, 10*time.Millisecond)
+		_ = fgtimer.Wait(n.fleet.ctx, 10*time.Millisecond)
 	}
 }
 
@@ -168,13 +169,13 @@
 	if n.self.Region != to.Region {
 		delay = 55 * time.Millisecond
 	}
-	sleep(ctx, delay)
+	_ = fgtimer.Wait(ctx, delay)
 	if p == nil || !n.reaches(p) {
 		<-ctx.Done()
 		return errCut
 	}
 	do(p)
-	sleep(ctx, delay)
+	_ = fgtimer.Wait(ctx, delay)
 	n.await()
 	return ctx.Err()
 }
--- a/internal/coordination/fgledger/holder.go
+++ b/internal/coordination/fgledger/holder.go
@@ -16,6 +16,7 @@
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/state/fgshare"
+	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 )
 
 // Key is the platform key of the fleet's ledger.
@@ -169,7 +170,7 @@
 		}
 		if err != nil && !errors.Is(err, fgstore.ErrNotFound) && ctx.Err() == nil {
 			h.logger.V(1).Info("ledger watch failed", "error", err.Error())
-			sleep(ctx, watchRetryDelay)
+			_ = fgtimer.Wait(ctx, watchRetryDelay)
 		}
 	}
 }
@@ -240,12 +241,3 @@
 	defer h.mu.Unlock()
 	return h.state.Revision(), h.state.Ledger(), h.declaration
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/coordination/fgsync/follow.go
+++ b/internal/coordination/fgsync/follow.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 )
 
 const (
@@ -40,12 +41,12 @@
 func (r *Replica[S]) watchLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !r.active() {
-			sleep(ctx, watchRetryDelay)
+			_ = fgtimer.Wait(ctx, watchRetryDelay)
 			continue
 		}
 		if err := r.watch(ctx); err != nil && ctx.Err() == nil {
 			r.options.Logger.V(1).Info("watch failed", "journal", r.options.Key, "error", err.Error())
-			sleep(ctx, watchRetryDelay)
+			_ = fgtimer.Wait(ctx, watchRetryDelay)
 		}
 	}
 }
@@ -133,12 +134,3 @@
 	r.observe(sent, AnswerCurrent)
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/fgentry/bubble_test.go
+++ b/internal/fgentry/bubble_test.go
@@ -16,6 +16,7 @@
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
 )
 
@@ -102,7 +103,7 @@
 	if refused {
 		return nil, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
 	}
-	wait(ctx, oneWay)
+	_ = fgtimer.Wait(ctx, oneWay)
 	return e, ctx.Err()
 }
 
@@ -120,7 +121,7 @@
 		return nil, err
 	}
 	out, err := (&peerService{entry: e}).Exchange(ctx, in)
-	wait(ctx, oneWay)
+	_ = fgtimer.Wait(ctx, oneWay)
 	return out, err
 }
 
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 	"github.com/filbertgap/filbertgap/internal/transport/fgpeer"
 	"github.com/filbertgap/filbertgap/internal/transport/fgupstream"
 )
@@ -255,7 +256,7 @@
 	e.leaving.Store(true)
 	e.tellNeighbours(ctx)
 	e.changeMembers(ctx, "leave-"+e.incarnation.String(), fgmember.BuildLeave(e.self()))
-	wait(ctx, e.settings.raw.DrainWait)
+	_ = fgtimer.Wait(ctx, e.settings.raw.DrainWait)
 	drain, cancel := context.WithTimeout(ctx, e.settings.raw.DrainTimeout)
 	defer cancel()
 	caller.SetKeepAlivesEnabled(false)
@@ -284,13 +285,3 @@
 		wg.Go(func() { _ = e.exchangeWith(ctx, m) })
 	}
 }
-
-// wait returns after a time, or when the context ends.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/fgentry/peers.go
+++ b/internal/fgentry/peers.go
@@ -14,6 +14,7 @@
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgsync"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
+	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 )
 
 const (
@@ -160,7 +161,7 @@
 func (e *Entry) askContacts(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.askContact(ctx)
-		wait(ctx, e.members.State().ExchangeInterval())
+		_ = fgtimer.Wait(ctx, e.members.State().ExchangeInterval())
 	}
 }
 
--- a/internal/fgentry/suspectservice.go
+++ b/internal/fgentry/suspectservice.go
@@ -9,6 +9,7 @@
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
 	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
+	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 	"github.com/filbertgap/filbertgap/internal/transport/fgupstream"
 )
 
@@ -54,7 +55,7 @@
 	defer cancel()
 	for try := range probeTries {
 		if try > 0 {
-			wait(ctx, probeWait)
+			_ = fgtimer.Wait(ctx, probeWait)
 		}
 		if !fgupstream.RefusesConnections(ctx, u.Spec().Address) {
 			continue
--- a/internal/fgstandin/network.go
+++ b/internal/fgstandin/network.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 )
 
 // listenBacklog is the number of connections that wait to be accepted.
@@ -164,7 +166,7 @@
 
 // passLink waits for the time that a packet needs on a link.
 func (n *Network) passLink(ctx context.Context, l link) error {
-	if err := sleepContext(ctx, n.delayOf(l)); err != nil {
+	if err := fgtimer.Wait(ctx, n.delayOf(l)); err != nil {
 		return err
 	}
 	for {
@@ -180,20 +182,6 @@
 	}
 }
 
-func sleepContext(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 func (n *Network) connect(l link, to netip.AddrPort) (net.Conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
