Look client blocks up in the block table

Cause: look-ups tried each prefix length in a map; fgblock was built for the target size and had no user. Blocks that the table cannot hold are refused in the configuration. TestFaults compares the refusals' texts; the look-up tests pass unchanged.

--- a/internal/coordination/fgplacement/lookup.go
+++ b/internal/coordination/fgplacement/lookup.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
+	"github.com/filbertgap/filbertgap/internal/state/fgblock"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
 )
@@ -26,53 +27,58 @@
 
 // blocks maps client addresses to regions.
 type blocks struct {
-	specs   []*fgapi.RegionSpec
-	lengths []int
-	regions map[netip.Prefix]string
+	specs []*fgapi.RegionSpec
+	// names holds the region of each policy of the table.
+	names []string
+	table *fgblock.Table
 }
 
 // blocksOf returns the client blocks of a snapshot. The table in force is kept
 // while no region changes.
 func (p *Placer) blocksOf(s *fgconfig.Snapshot) *blocks {
-	b := &blocks{regions: map[netip.Prefix]string{}}
-	resources := s.Resources(fgapi.KindRegion)
-	for _, r := range resources {
+	b := &blocks{}
+	for _, r := range s.Resources(fgapi.KindRegion) {
 		if spec, ok := r.Spec.(*fgapi.RegionSpec); ok {
 			b.specs = append(b.specs, spec)
+			b.names = append(b.names, r.Metadata.Name)
 		}
 	}
 	if v := p.view.Load(); v != nil && slices.Equal(v.blocks.specs, b.specs) {
 		return v.blocks
 	}
+	b.table = b.newTable()
+	return b
+}
+
+// newTable makes the table of all regions' blocks. The configuration's checks
+// refuse blocks that a table cannot hold, or that two regions declare.
+func (b *blocks) newTable() *fgblock.Table {
+	var c fgblock.Change
 	for i, spec := range b.specs {
 		for _, text := range spec.ClientBlocks {
 			prefix, err := netip.ParsePrefix(text)
 			if err != nil {
 				continue
 			}
-			b.regions[prefix.Masked()] = resources[i].Metadata.Name
-			b.lengths = append(b.lengths, prefix.Bits())
+			if block, err := fgblock.NewBlock(prefix, fgblock.Policy(i)); err == nil {
+				c.Put = append(c.Put, block)
+			}
 		}
 	}
-	slices.Sort(b.lengths)
-	b.lengths = slices.Compact(b.lengths)
-	slices.Reverse(b.lengths)
-	return b
+	table, err := (&fgblock.Table{}).Apply(c)
+	if err != nil {
+		return &fgblock.Table{}
+	}
+	return table
 }
 
 // region returns the region of the longest block that contains an address.
 func (b *blocks) region(a netip.Addr) (string, bool) {
-	a = a.Unmap()
-	for _, bits := range b.lengths {
-		prefix, err := a.Prefix(bits)
-		if err != nil {
-			continue
-		}
-		if region, ok := b.regions[prefix]; ok {
-			return region, true
-		}
+	policy, ok := b.table.Lookup(a)
+	if !ok {
+		return "", false
 	}
-	return "", false
+	return b.names[policy], true
 }
 
 // Lookup describes a caller that asks which VMs to use.
--- a/pkg/fgapi/decode_test.go
+++ b/pkg/fgapi/decode_test.go
@@ -97,10 +97,12 @@
 		{"route without upstreams", route("r", "GET"), []string{`f.yaml:10: Route/r: spec.upstreamGroup is "toys"; accepted is the group of a declared Upstream`}},
 		{"routes with one prefix and method", regions + upstream + route("r", "GET, PUT") + route("s", "POST, PUT"), []string{
 			`f.yaml:33: Route/s: spec.pathPrefix is "/toys", as in Route/r; accepted is one route for each path prefix and method`}},
-		{"region", resourceText("Region", "r", "  availabilityZones: [a, a]\n  clientBlocks: [10.1.2.3/16, x]"), []string{
+		{"region", resourceText("Region", "r", "  availabilityZones: [a, a]\n  clientBlocks: [10.1.2.3/16, x, 8.0.0.0/7, 2001:db8::/65]"), []string{
 			`f.yaml:5: Region/r: spec.availabilityZones[1] is "a"; accepted is each name once`,
 			`f.yaml:6: Region/r: spec.clientBlocks[0] is "10.1.2.3/16"; accepted is an address prefix whose remaining bits are zero, for example 10.1.0.0/16`,
-			`f.yaml:6: Region/r: spec.clientBlocks[1] is "x"; accepted is an address prefix whose remaining bits are zero, for example 10.1.0.0/16`}},
+			`f.yaml:6: Region/r: spec.clientBlocks[1] is "x"; accepted is an address prefix whose remaining bits are zero, for example 10.1.0.0/16`,
+			`f.yaml:6: Region/r: spec.clientBlocks[2] is "8.0.0.0/7"; accepted is an IPv4 prefix of /8 to /32 or an IPv6 prefix of /8 to /64`,
+			`f.yaml:6: Region/r: spec.clientBlocks[3] is "2001:db8::/65"; accepted is an IPv4 prefix of /8 to /32 or an IPv6 prefix of /8 to /64`}},
 		{"regions that share", regions + resourceText("Region", "south", "  availabilityZones: [east-a]\n  clientBlocks: [10.1.0.0/16]"), []string{
 			`f.yaml:16: Region/south: spec.availabilityZones[0] is "east-a"; accepted is a name that Region/east does not use`,
 			`f.yaml:17: Region/south: spec.clientBlocks[0] is "10.1.0.0/16", as in Region/west; accepted is a block that no other region declares`}},
--- a/pkg/fgapi/validate.go
+++ b/pkg/fgapi/validate.go
@@ -134,6 +134,12 @@
 	return errs
 }
 
+// Lengths of client blocks that the look-up table can hold.
+const (
+	minBlockBits  = 8
+	maxBlockBits6 = 64
+)
+
 func validateRegion(r Resource, s *RegionSpec) []error {
 	var errs []error
 	if len(s.AvailabilityZones) == 0 {
@@ -148,9 +154,13 @@
 		}
 	}
 	for i, b := range s.ClientBlocks {
+		field := fmt.Sprintf("spec.clientBlocks[%d]", i)
 		p, err := netip.ParsePrefix(b)
-		if err != nil || p != p.Masked() {
-			errs = append(errs, r.faultText(fmt.Sprintf("spec.clientBlocks[%d]", i), b, "an address prefix whose remaining bits are zero, for example 10.1.0.0/16"))
+		switch {
+		case err != nil || p != p.Masked():
+			errs = append(errs, r.faultText(field, b, "an address prefix whose remaining bits are zero, for example 10.1.0.0/16"))
+		case p.Bits() < minBlockBits || p.Addr().Is6() && p.Bits() > maxBlockBits6:
+			errs = append(errs, r.faultText(field, b, "an IPv4 prefix of /8 to /32 or an IPv6 prefix of /8 to /64"))
 		}
 	}
 	return errs
