Let a lender wait for its refill, and list the proofs

Cause: a workspace of 10 requests/s and burst 5 whose callers move between VMs was refused within its rate. A trace of the refusals showed that the fleet almost always had a whole token (total 0.66 to 2.9 tokens), divided between two holders of which neither had one at that moment; the keeper's moves of units, suspected before, were not the main cause.

A lender now waits up to 100 ms for its bucket before it grants; the loan's validity counts from then.

Tried and reverted: moving the units of a small burst only when more than half of them would move, with a slower average of demand (weights 4 and 8).

--- a/internal/coordination/fgledger/borrow.go
+++ b/internal/coordination/fgledger/borrow.go
@@ -21,12 +21,16 @@
 	// emptyFor is how long a peer that lent less than it was asked for is not
 	// asked again, so that a workspace above its rate causes few messages.
 	emptyFor = 100 * time.Millisecond
+	// maxLendWait bounds how long a lender waits for its bucket to refill. A
+	// burst that is divided leaves less than one token in each bucket at most
+	// moments, and a refusal then would be wrong: the fleet has the token.
+	maxLendWait = 100 * time.Millisecond
 )
 
 // Lender is a peer that is asked for tokens.
 type Lender interface {
 	// Borrow calls Holder.Lend of a member.
-	Borrow(ctx context.Context, from fgmember.Member, limit string, amount int64) (int64, error)
+	Borrow(ctx context.Context, from fgmember.Member, limit string, amount int64) (Loan, error)
 }
 
 // Borrower spends tokens of the own share and, where they are short, of peers.
@@ -150,7 +154,7 @@
 	}
 	missing := r.Missing(amount) + r.Batch(amount) - amount
 	// An answer after the validity of the loan is worth nothing.
-	ctx, cancel := context.WithTimeout(ctx, fgshare.LoanValidity)
+	ctx, cancel := context.WithTimeout(ctx, fgshare.LoanValidity+maxLendWait)
 	defer cancel()
 	var wg conc.WaitGroup
 	defer wg.Wait()
@@ -172,12 +176,13 @@
 
 func (b *Borrower) ask(ctx context.Context, s *source, limit string, r *Rate, amount int64) {
 	sent := time.Now()
-	granted, err := b.peers.Borrow(ctx, s.member, limit, amount)
-	if err != nil || granted < amount {
+	loan, err := b.peers.Borrow(ctx, s.member, limit, amount)
+	if err != nil || loan.amount < amount {
 		s.emptyUntil.Store(int64(b.holder.clock() + emptyFor))
 	}
 	if err == nil {
-		// A lender never grants more than it was asked for.
-		r.Receive(sent, min(granted, amount))
+		// A lender never grants more than it was asked for. It granted the loan
+		// after it had waited, which was after the request was sent.
+		r.Receive(sent.Add(loan.waited), min(loan.amount, amount))
 	}
 }
--- a/internal/coordination/fgledger/fleet_test.go
+++ b/internal/coordination/fgledger/fleet_test.go
@@ -186,9 +186,9 @@
 	return promised, errors.Join(err, refused)
 }
 
-func (n *node) Borrow(ctx context.Context, to fgmember.Member, limit string, amount int64) (granted int64, err error) {
-	err = n.call(ctx, to, func(p *node) { granted = p.Lend(limit, amount) })
-	return granted, err
+func (n *node) Borrow(ctx context.Context, to fgmember.Member, limit string, amount int64) (loan Loan, err error) {
+	err = n.call(ctx, to, func(p *node) { loan = p.Lend(ctx, limit, amount) })
+	return loan, err
 }
 
 func (n *node) Ledger(ctx context.Context, to fgmember.Member) (v fgstore.Value, err error) {
--- a/internal/coordination/fgledger/holder.go
+++ b/internal/coordination/fgledger/holder.go
@@ -204,13 +204,35 @@
 	return units, nil
 }
 
-// Lend spends at most an amount of a rate for a peer.
-func (h *Holder) Lend(limit string, amount int64) int64 {
+// Loan is what a lender granted. The zero value grants nothing.
+type Loan struct {
+	amount int64
+	waited time.Duration
+}
+
+// NewLoan returns a loan that was granted at least a time after it was asked for.
+func NewLoan(amount int64, waited time.Duration) Loan { return Loan{amount: amount, waited: waited} }
+
+// Amount returns the granted amount.
+func (l Loan) Amount() int64 { return l.amount }
+
+// Waited returns for how long the lender waited before it granted the loan. The
+// validity of the loan begins no earlier.
+func (l Loan) Waited() time.Duration { return l.waited }
+
+// Lend spends at most an amount of a rate for a peer. When the bucket will soon
+// hold the amount, it waits for that.
+func (h *Holder) Lend(ctx context.Context, limit string, amount int64) Loan {
 	r := h.Rate(limit)
 	if r == nil {
-		return 0
+		return Loan{}
+	}
+	start := time.Now()
+	if wait, ok := r.Wait(amount); ok && wait <= maxLendWait {
+		_ = fgtimer.Wait(ctx, wait)
 	}
-	return r.Lend(amount)
+	waited := time.Since(start)
+	return Loan{amount: r.Lend(amount), waited: waited}
 }
 
 // Demands returns the use of the limits that were used or have spare units.
--- a/internal/fgentry/limitservice.go
+++ b/internal/fgentry/limitservice.go
@@ -4,13 +4,13 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgledger"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
-	"github.com/filbertgap/filbertgap/internal/state/fgshare"
 )
 
 // limits is this process's part in the fleet's limits. It connects the ledger
@@ -129,12 +129,12 @@
 }
 
 // Borrow asks a member for tokens, in thousandths.
-func (l *limits) Borrow(ctx context.Context, from fgmember.Member, limit string, amount int64) (int64, error) {
+func (l *limits) Borrow(ctx context.Context, from fgmember.Member, limit string, amount int64) (fgledger.Loan, error) {
 	answer, err := l.client(ctx, from).Borrow(ctx, &fgwire.BorrowRequest{Limit: limit, Count: amount, Borrower: l.entry.incarnation.String()})
 	if err != nil {
-		return 0, err
+		return fgledger.Loan{}, err
 	}
-	return answer.GetGranted(), nil
+	return fgledger.NewLoan(answer.GetGranted(), time.Duration(answer.GetWaitedUs())*time.Microsecond), nil
 }
 
 // Ledger fetches the ledger that a member knows.
@@ -153,9 +153,9 @@
 }
 
 // Borrow lends tokens of this process's share. Counts are thousandths.
-func (s *peerService) Borrow(_ context.Context, in *fgwire.BorrowRequest) (*fgwire.BorrowAnswer, error) {
-	granted := s.entry.limits.holder.Lend(in.GetLimit(), in.GetCount())
-	return &fgwire.BorrowAnswer{Granted: granted, ValidMs: fgshare.LoanValidity.Milliseconds()}, nil
+func (s *peerService) Borrow(ctx context.Context, in *fgwire.BorrowRequest) (*fgwire.BorrowAnswer, error) {
+	loan := s.entry.limits.holder.Lend(ctx, in.GetLimit(), in.GetCount())
+	return &fgwire.BorrowAnswer{Granted: loan.Amount(), WaitedUs: loan.Waited().Microseconds()}, nil
 }
 
 // Lower makes this process hold fewer units.
