Run the suspects of a region through one VM

Cause: TestRequestThatCrashesUpstreams failed once with an innocent request convicted. Two VMs ran different suspects on one upstream at the same moment, since "alone" was judged by each VM for itself; the crash by one convicted both.

--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -143,6 +143,11 @@
 	if status == fgsuspect.Convicted {
 		return attempt{}, crashesUpstreams()
 	}
+	if status == fgsuspect.Suspect && c.hop != hopPlace {
+		if owner, ok := e.suspectOwner(c); ok {
+			return e.sendSuspect(w, r, c, owner, exclude)
+		}
+	}
 	if status == fgsuspect.Suspect && e.suspects.Running(c.fingerprint) {
 		// Its end may clear the suspicion, and this call with it.
 		return attempt{busy: true, running: true, err: runsAlone()}, nil
--- a/internal/fgentry/suspectservice.go
+++ b/internal/fgentry/suspectservice.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 
+	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
 	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
@@ -67,6 +71,38 @@
 	}
 }
 
+// suspectOwner returns the VM that runs all suspects of this region, unless it
+// is this one. With one VM in charge, two suspects never share an upstream; when
+// each VM ran its own, a crash by one convicted an innocent one beside it.
+func (e *Entry) suspectOwner(c *call) (fgmember.Member, bool) {
+	region := e.settings.raw.Region
+	isLocal := func(u *fgconfig.Upstream) bool { return u.Spec().Region == region }
+	if !slices.ContainsFunc(c.snapshot.Upstreams(c.route.Spec().UpstreamGroup), isLocal) {
+		return fgmember.Member{}, false
+	}
+	var owner fgmember.Member
+	var least uint64
+	for _, m := range e.members.State().All() {
+		self := m.Incarnation == e.incarnation.String()
+		if m.Region != region || !self && (m.Leaving || !e.reports.Alive(m.Incarnation)) {
+			continue
+		}
+		if h := xxhash.Sum64String(m.Incarnation); owner.VM == "" || h < least {
+			owner, least = m, h
+		}
+	}
+	return owner, owner.VM != "" && owner.Incarnation != e.incarnation.String()
+}
+
+// sendSuspect sends a suspected call to the VM that runs the region's suspects.
+// When that VM cannot take it, it is refused rather than run here.
+func (e *Entry) sendSuspect(w http.ResponseWriter, r *http.Request, c *call, owner fgmember.Member, tried map[string]bool) (attempt, error) {
+	if tried[owner.Incarnation] {
+		return attempt{}, runsAlone()
+	}
+	return e.sendPeer(w, r, c, peerTarget{member: owner, done: func(result) {}}), nil
+}
+
 // spreadSuspects tells the region's peers, and returns when they know.
 func (e *Entry) spreadSuspects(news []fgsuspect.State) {
 	if len(news) == 0 {
