--- a/internal/fgcommand/script_test.go
+++ b/internal/fgcommand/script_test.go
@@ -80,6 +80,7 @@
 			"setenvfile": scriptSetenvFile,
 			"exits":      scriptExits,
 			"cert":       scriptCert,
+			"atmost":     scriptAtMost,
 		},
 	})
 }
@@ -166,6 +167,21 @@
 	}
 }
 
+// scriptAtMost implements "atmost N TEXT FILE...": the files together contain
+// the text at most N times.
+func scriptAtMost(ts *testscript.TestScript, neg bool, args []string) {
+	most, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	n := 0
+	for _, file := range args[2:] {
+		n += strings.Count(ts.ReadFile(file), args[1])
+	}
+	ts.Logf("%d times", n)
+	if (n <= most) == neg {
+		ts.Fatalf("%s is there %d times", args[1], n)
+	}
+}
+
 // scriptSetenvFile implements "setenvfile NAME FILE".
 func scriptSetenvFile(ts *testscript.TestScript, _ bool, args []string) {
 	ts.Setenv(args[0], strings.TrimSpace(ts.ReadFile(args[1])))
