Let a crashed upstream rest

When a connection broke and the upstream then refused connections, detectCrash made suspects, but the placer was told "lost", which begins no rest (upstream.record). The next requests were sent to the dead upstream until one found that it cannot be reached. With two of three upstreams crashed, both tries of an idempotent request could meet them: refused as not-run although the third was free.

A detected crash is now reported to the placer as unreached, as section 9.4 says of upstreams that refuse connections. The request itself stays lost, so its outcome and its retry are as before.

TestCrashedUpstreamRests fails without the change: the group has room for 1 request, want 0.

--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -259,7 +259,16 @@
 // sendLocal sends a call to an upstream and copies its answer.
 func (e *Entry) sendLocal(w http.ResponseWriter, r *http.Request, c *call, t localTarget) attempt {
 	a := attempt{names: []string{t.upstream.Name()}, result: resultCancelled}
-	defer func() { t.done(a.result) }()
+	// A crashed upstream rests as one that cannot be reached, since it refuses
+	// connections. The request itself stays lost: it may have run.
+	crashed := false
+	defer func() {
+		if crashed {
+			t.done(resultUnreached)
+			return
+		}
+		t.done(a.result)
+	}()
 	run, err := e.suspects.Enter(t.upstream.Name(), c.fingerprint)
 	switch {
 	case errors.Is(err, fgsuspect.ErrBusy), errors.Is(err, fgsuspect.ErrRunning):
@@ -292,7 +301,7 @@
 		a.result, a.err = e.unanswered(c, outcome, cause)
 	}
 	if a.result == resultLost {
-		e.detectCrash(t.upstream)
+		crashed = e.detectCrash(t.upstream)
 	}
 	return a
 }
--- a/internal/fgentry/send_test.go
+++ b/internal/fgentry/send_test.go
@@ -321,3 +321,18 @@
 		})
 	}
 }
+
+// Guards against more requests for an upstream that has crashed: on a group
+// with two such, both tries of a request could meet them.
+func TestCrashedUpstreamRests(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.setBehavior(fgstandin.Behavior{CrashPath: "/orders/bad"})
+	if a := f.send(t.Context(), 0, "POST", "/orders/bad", "", "kit"); a.outcome != "unknown" {
+		t.Errorf("%v, want unknown", a)
+	}
+	for _, c := range f.entries[0].placer.Capacities() {
+		if c.Free != 0 {
+			t.Errorf("group %s has room for %d requests, want 0", c.Group, c.Free)
+		}
+	}
+}
--- a/internal/fgentry/suspectservice.go
+++ b/internal/fgentry/suspectservice.go
@@ -48,8 +48,8 @@
 }
 
 // detectCrash makes suspects of the requests in flight at an upstream whose
-// connection broke, if it refuses new connections.
-func (e *Entry) detectCrash(u *fgconfig.Upstream) {
+// connection broke, if it refuses new connections. It reports whether it does.
+func (e *Entry) detectCrash(u *fgconfig.Upstream) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTries*probeWait+spreadTimeout)
 	defer cancel()
 	for try := range probeTries {
@@ -62,8 +62,9 @@
 		news := e.suspects.Crash(u.Name())
 		e.logger.Info("upstream crashed", "upstream", u.Name(), "suspects", len(news))
 		e.spreadSuspects(news)
-		return
+		return true
 	}
+	return false
 }
 
 // spreadSuspects tells the region's peers, and returns when they know.
