--- a/internal/fgcommand/script_test.go
+++ b/internal/fgcommand/script_test.go
@@ -34,9 +34,26 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"filbertgap": func() { os.Exit(Run(os.Args[1:], os.Stdout, os.Stderr)) },
+		"request":    request,
 	})
 }
 
+// request is the program "request URL", for requests in the background: it
+// prints the status and the length of the answer.
+func request() {
+	client := http.Client{Timeout: fetchTimeout}
+	res, err := client.Get(os.Args[1])
+	if err == nil {
+		var n int64
+		n, err = io.Copy(io.Discard, res.Body)
+		fmt.Printf("status %d, %d bytes\n", res.StatusCode, n)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
 // TestScripts runs the scenarios under testdata/script, with each part of the
 // system as a process of its own on loopback.
 func TestScripts(t *testing.T) {
@@ -63,6 +80,7 @@
 			"setenvfile": scriptSetenvFile,
 			"exits":      scriptExits,
 			"cert":       scriptCert,
+			"atmost":     scriptAtMost,
 		},
 	})
 }
@@ -149,6 +167,21 @@
 	}
 }
 
+// scriptAtMost implements "atmost N TEXT FILE...": the files together contain
+// the text at most N times.
+func scriptAtMost(ts *testscript.TestScript, neg bool, args []string) {
+	most, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	n := 0
+	for _, file := range args[2:] {
+		n += strings.Count(ts.ReadFile(file), args[1])
+	}
+	ts.Logf("%d times", n)
+	if (n <= most) == neg {
+		ts.Fatalf("%s is there %d times", args[1], n)
+	}
+}
+
 // scriptSetenvFile implements "setenvfile NAME FILE".
 func scriptSetenvFile(ts *testscript.TestScript, _ bool, args []string) {
 	ts.Setenv(args[0], strings.TrimSpace(ts.ReadFile(args[1])))
