--- a/internal/fgentry/limits.go
+++ b/internal/fgentry/limits.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// admitRegionalCap spends one request of the cap between two regions. Without a
-// declared cap, or within a region, nothing is limited.
+// admitRegionalCap spends one request of the cap between two regions. The
+// placement lets nothing cross between regions without a declared cap.
 func (e *Entry) admitRegionalCap(ctx context.Context, from, to string) error {
 	name, ok := e.limits.names.Load().capRate[regionPair{from: from, to: to}]
 	if !ok {
--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -18,6 +18,10 @@
 const (
 	// maxTries bounds how often a request is sent.
 	maxTries = 2
+	// maxUnreached bounds how many targets that cannot be reached are passed
+	// over. They received nothing and do not count as tries: with 2 of 3
+	// upstreams dead, a request could otherwise be refused beside a healthy one.
+	maxUnreached = 3
 	// maxAloneWait bounds how long a request waits because a suspect must run
 	// alone.
 	maxAloneWait = 2 * time.Second
@@ -57,7 +61,7 @@
 func (e *Entry) sendTries(w http.ResponseWriter, r *http.Request, c *call) error {
 	tried := map[string]bool{}
 	var last error
-	for tries := 1; ; tries++ {
+	for sent, unreached := 0, 0; ; {
 		a, err := e.sendAlone(w, r, c, tried)
 		switch {
 		case err != nil && last != nil:
@@ -67,8 +71,13 @@
 		case a.err == nil:
 			return nil
 		}
+		if a.result == resultUnreached {
+			unreached++
+		} else {
+			sent++
+		}
 		last = afterTry(last, a.err)
-		if !e.mayRetry(r.Context(), c, a.result, tries) {
+		if sent >= maxTries || unreached > maxUnreached || !e.mayRetry(r.Context(), c, a.result) {
 			return last
 		}
 		for _, name := range a.names {
@@ -122,8 +131,8 @@
 }
 
 // mayRetry reports whether a call may be sent once more.
-func (e *Entry) mayRetry(ctx context.Context, c *call, last result, tries int) bool {
-	if tries >= maxTries || ctx.Err() != nil || !c.body.replayable() {
+func (e *Entry) mayRetry(ctx context.Context, c *call, last result) bool {
+	if ctx.Err() != nil || !c.body.replayable() {
 		return false
 	}
 	switch last {
