--- /dev/null
+++ b/internal/coordination/fgledger/round_bench_test.go
@@ -0,0 +1,96 @@
+package fgledger
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgmember"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+	"github.com/filbertgap/filbertgap/internal/state/fgjournal"
+	"github.com/filbertgap/filbertgap/internal/state/fgshare"
+)
+
+// steadyFleet is a fleet whose members are all alive.
+type steadyFleet struct{ set *fgmember.Set }
+
+func (f steadyFleet) Members() (uint64, *fgmember.Set)  { return 1, f.set }
+func (f steadyFleet) Alive(string) bool                 { return true }
+func (f steadyFleet) Demands(string) ([]Demand, uint64) { return nil, 0 }
+
+// busyKeeper returns a keeper without a ledger, whose members all use each
+// limit. The burst is large enough to be divided between all of them.
+func busyKeeper(b *testing.B, holders, limits int) (*Keeper, *fgmember.Set) {
+	var c fgmember.Change
+	declared := map[string]Declared{}
+	for i := range limits {
+		declared[fmt.Sprintf("workspace/workspace-%04d", i)] = NewDeclared(fgshare.Rate(10_000, 10_000), "")
+	}
+	used := map[useKey]use{}
+	for i := range holders {
+		m := fgmember.Member{VM: fmt.Sprintf("vm-%04d", i), Incarnation: fmt.Sprintf("%016x", i), Region: "r0"}
+		c.Put = append(c.Put, m)
+		for name := range declared {
+			used[useKey{m.Incarnation, name}] = use{units: 10, at: time.Now()}
+		}
+	}
+	payload, _ := json.Marshal(c)
+	set, err := fgmember.Apply(fgmember.EmptySet(), fgjournal.Entry{Payload: payload})
+	if err != nil {
+		b.Fatal(err)
+	}
+	h := NewHolder(c.Put[0].Incarnation, logr.Discard())
+	h.Declare(NewDeclaration(1, declared))
+	k := NewKeeper(KeeperOptions{Holder: h, Fleet: steadyFleet{set}, Logger: logr.Discard()})
+	k.use = used
+	return k, set
+}
+
+// makeRound plans a round and encodes the ledger that it would write.
+func makeRound(b *testing.B, k *Keeper, set *fgmember.Set) []byte {
+	p := k.plan(1, set)
+	next := p.next(k.gone(p))
+	data, err := json.Marshal(next)
+	if err := errors.Join(err, next.Check()); err != nil {
+		b.Fatal(err)
+	}
+	return data
+}
+
+// BenchmarkLedger measures the plan and the encoding of a round that divides all
+// limits anew, the plan of a round that finds nothing to move, and what each
+// holder spends on one write of the ledger. Calls are not part of it.
+func BenchmarkLedger(b *testing.B) {
+	for _, holders := range []int{7, 64, 200} {
+		for _, limits := range []int{8, 100, 1_000} {
+			k, set := busyKeeper(b, holders, limits)
+			v := fgstore.Value{Key: Key, Data: makeRound(b, k, set)}
+			size := fmt.Sprintf("holders=%d/limits=%d", holders, limits)
+			b.Run("round/"+size, func(b *testing.B) {
+				for b.Loop() {
+					makeRound(b, k, set)
+				}
+				b.ReportMetric(float64(len(v.Data)), "ledger-B")
+			})
+			b.Run("absorb/"+size, func(b *testing.B) {
+				for b.Loop() {
+					v.Revision++
+					if err := k.options.Holder.Absorb(v); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+			b.Run("settled/"+size, func(b *testing.B) {
+				for b.Loop() {
+					if !k.plan(1, set).settled(k) {
+						b.Fatal("the ledger is not at its targets")
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/coordination/fgplacement/placer_bench_test.go
+++ b/internal/coordination/fgplacement/placer_bench_test.go
@@ -9,7 +9,7 @@
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
 )
 
-var benchSizes = []struct{ vms, upstreams, regions int }{{7, 12, 1}, {4100, 1200, 8}}
+var benchSizes = []struct{ vms, upstreams, regions int }{{7, 12, 1}, {1000, 296, 8}, {4100, 1200, 8}}
 
 // benchFleet returns one placer that knows many VMs and upstreams.
 func benchFleet(b *testing.B, vms, count, regions int, slots int64) *Placer {
