--- a/internal/coordination/fgledger/round_bench_test.go
+++ b/internal/coordination/fgledger/round_bench_test.go
@@ -25,12 +25,10 @@
 // busyKeeper returns a keeper without a ledger, whose members all use each
 // limit. The burst is large enough to be divided between all of them.
 func busyKeeper(b *testing.B, holders, limits int) (*Keeper, *fgmember.Set) {
-	var c fgmember.Change
-	declared := map[string]Declared{}
+	c, declared, used := fgmember.Change{}, map[string]Declared{}, map[useKey]use{}
 	for i := range limits {
 		declared[fmt.Sprintf("workspace/workspace-%04d", i)] = NewDeclared(fgshare.Rate(10_000, 10_000), "")
 	}
-	used := map[useKey]use{}
 	for i := range holders {
 		m := fgmember.Member{VM: fmt.Sprintf("vm-%04d", i), Incarnation: fmt.Sprintf("%016x", i), Region: "r0"}
 		c.Put = append(c.Put, m)
@@ -61,9 +59,8 @@
 	return data
 }
 
-// BenchmarkLedger measures the plan and the encoding of a round that divides all
-// limits anew, the plan of a round that finds nothing to move, and what each
-// holder spends on one write of the ledger. Calls are not part of it.
+// BenchmarkLedger measures, without calls, a round that divides all limits anew,
+// the plan that finds nothing to move, and what a holder spends on one write.
 func BenchmarkLedger(b *testing.B) {
 	for _, holders := range []int{7, 64, 200} {
 		for _, limits := range []int{8, 100, 1_000} {
--- a/internal/fgentry/exchange_bench_test.go
+++ b/internal/fgentry/exchange_bench_test.go
@@ -73,9 +73,8 @@
 func BenchmarkExchange(b *testing.B) {
 	for _, members := range []int{7, 100, 1_000, 4_100} {
 		for _, limits := range []int{0, 8, 100, 1_000} {
-			b.Run(fmt.Sprintf("members=%d/limits=%d", members, limits), func(b *testing.B) {
-				benchExchange(b, benchEntry(b, members, limits))
-			})
+			name := fmt.Sprintf("members=%d/limits=%d", members, limits)
+			b.Run(name, func(b *testing.B) { benchExchange(b, benchEntry(b, members, limits)) })
 		}
 	}
 }
