--- a/internal/state/fgblock/table_test.go
+++ b/internal/state/fgblock/table_test.go
@@ -204,6 +204,7 @@
 func BenchmarkSetSite(b *testing.B) {
 	d := newDirectory(b, targetBlocks, targetSites)
 	b.ReportAllocs()
+	b.ResetTimer()
 	for i := range b.N {
 		d.SetSite(SiteID(i%targetSites), SiteState(i%2))
 	}
