Ask every peer for tokens within 200 ms

Cause: a request that found its first two lenders short was refused although a third had the token. Two rounds were too few where a rate lies on several VMs; the bound is now a time of about two round trips between regions.

--- a/internal/coordination/fgledger/borrow.go
+++ b/internal/coordination/fgledger/borrow.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// borrowRounds bounds the round trips that a request waits for tokens.
-	borrowRounds = 2
+	// maxBorrowTime bounds how long a request waits for tokens before the last
+	// peer is asked: about two round trips between regions. Within a region it
+	// is enough to ask every peer.
+	maxBorrowTime = 200 * time.Millisecond
 	// lendersPerRound bounds the peers that are asked at the same time.
 	lendersPerRound = 3
 	// emptyFor is how long a peer that lent less than it was asked for is not
@@ -115,13 +117,13 @@
 	return 0
 }
 
-// Take spends an amount of a rate. It asks peers in at most two rounds, and not
-// beyond the context's end.
+// Take spends an amount of a rate. It asks one peer after another, for at most
+// maxBorrowTime and not beyond the context's end.
 func (b *Borrower) Take(ctx context.Context, limit string, r *Rate, amount int64) bool {
 	if r.Take(amount) {
 		return true
 	}
-	for range borrowRounds {
+	for start := time.Now(); time.Since(start) < maxBorrowTime; {
 		if !b.borrow(ctx, limit, r, amount) {
 			break
 		}
