Keep the layers by a test, and log every decision in one form

internal/state/fgdedupe imported the protocol layer for the length of an id window; the windows now belong to the state layer. TestLayers failed on that import before. Log lines of answered requests had no reason, and four places wrote them; one function does now. Two types whose names differed by a capital only are renamed.

--- a/internal/fgentry/caller.go
+++ b/internal/fgentry/caller.go
@@ -246,7 +246,7 @@
 		p = fgproblem.New(http.StatusInternalServerError, fgproblem.CodeOutcomeUnknown, "internal error").WithOutcome(fgproblem.Unknown)
 		e.logger.Error(err, "request failed", "requestId", c.id)
 	}
-	e.logger.Info("request", "requestId", c.id, "workspace", c.workspace, "vm", e.settings.raw.VM, "upstream", "", "outcome", p.Outcome(), "reason", p.Code())
+	e.logDecision(c, destination{}, string(p.Outcome()), string(p.Code()))
 	c.refusal = p
 	if r.ContentLength != 0 && (c.body == nil || !c.body.whole) {
 		// The rest of the body must not be read as the next request.
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -56,7 +56,7 @@
 	listeners listeners
 	lister    fgstore.VMLister
 	fresh     *freshness
-	inFlight  inFlight
+	keyed     keyTracker
 	inForce   inForce
 	asked     asked
 	// peer returns a client of the process at an address.
--- a/internal/fgentry/fleet_test.go
+++ b/internal/fgentry/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/filbertgap/filbertgap/internal/protocol/fgkey"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
+	"github.com/filbertgap/filbertgap/internal/state/fgdedupe"
 	"github.com/filbertgap/filbertgap/internal/transport/fgpeer"
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
 )
@@ -218,7 +219,7 @@
 
 // id returns an id that entry i alone may run.
 func (f *fleet) id(i int, suffix string) string {
-	return fgrequest.Prefix(f.entries[i].incarnation, fgrequest.WindowAt(time.Now())) + "-" + suffix
+	return fgrequest.Prefix(f.entries[i].incarnation, fgdedupe.WindowAt(time.Now())) + "-" + suffix
 }
 
 // answer is what a caller received.
--- a/internal/fgentry/foreign.go
+++ b/internal/fgentry/foreign.go
@@ -83,7 +83,7 @@
 	now := time.Now()
 	k, ok := e.dedupe.Find(c.workspace, c.upstreamID, now)
 	if !ok {
-		k = fgdedupe.NewKey(c.workspace, c.upstreamID, fgrequest.WindowAt(now))
+		k = fgdedupe.NewKey(c.workspace, c.upstreamID, fgdedupe.WindowAt(now))
 	}
 	claim, first, err := e.dedupe.Begin(k, c.repeatDigest(r), now)
 	return claim, k, first, err
--- a/internal/fgentry/forward.go
+++ b/internal/fgentry/forward.go
@@ -95,7 +95,7 @@
 		a.result, a.err = peerRefusal(res)
 		return a
 	}
-	e.logger.Info("request", "requestId", c.id, "workspace", c.workspace, "vm", e.settings.raw.VM, "peer", t.member.VM, "outcome", "ran", "status", res.StatusCode)
+	e.logDecision(c, destination{peer: t.member.VM}, outcomeRan, "placed-at-peer")
 	a.result, a.err = e.passAnswer(w, c, res)
 	return a
 }
--- a/internal/fgentry/lookup.go
+++ b/internal/fgentry/lookup.go
@@ -11,6 +11,7 @@
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgplacement"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
+	"github.com/filbertgap/filbertgap/internal/state/fgdedupe"
 )
 
 // lookupLifetime is how long callers may cache a look-up answer.
@@ -68,5 +69,5 @@
 	if err != nil {
 		return ""
 	}
-	return fgrequest.Prefix(i, fgrequest.WindowAt(now))
+	return fgrequest.Prefix(i, fgdedupe.WindowAt(now))
 }
--- a/internal/fgentry/once.go
+++ b/internal/fgentry/once.go
@@ -23,7 +23,7 @@
 	bodies   bodyBudget
 	foreign  writeBudget
 	// forwarded are the requests of peers in flight here.
-	forwarded inflight
+	forwarded requestGroup
 }
 
 // serveOnce runs a call that must not run twice. It recognises repeats by the
@@ -176,7 +176,7 @@
 		_, err := peerRefusal(res)
 		return err
 	}
-	e.logger.Info("request", "requestId", c.id, "workspace", c.workspace, "vm", e.settings.raw.VM, "peer", m.VM, "outcome", "ran", "status", res.StatusCode)
+	e.logDecision(c, destination{peer: m.VM}, outcomeRan, "id-names-peer")
 	defer func() { _ = res.Body.Close() }()
 	return copyAnswer(w, res)
 }
--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -310,7 +310,7 @@
 	case fgupstream.Refused:
 		a.result, a.err = resultOf(res), noCapacity("the upstream refused the request")
 	case fgupstream.Answered:
-		e.logger.Info("request", "requestId", c.id, "workspace", c.workspace, "vm", e.settings.raw.VM, "upstream", t.upstream.Name(), "outcome", "ran", "status", res.StatusCode)
+		e.logDecision(c, destination{upstream: t.upstream.Name()}, outcomeRan, "placed-here")
 		a.result, a.err = e.passAnswer(w, c, res)
 		if a.result == resultAnswered {
 			a.result = resultOf(res)
--- a/internal/fgentry/withdrawal.go
+++ b/internal/fgentry/withdrawal.go
@@ -27,8 +27,8 @@
 	doomed bool
 }
 
-// inFlight holds the requests in flight with keys. The zero value is empty.
-type inFlight struct {
+// keyTracker holds the requests in flight with keys. The zero value is empty.
+type keyTracker struct {
 	mu       sync.Mutex
 	requests map[*tracked]struct{}
 }
@@ -39,7 +39,7 @@
 func (e *Entry) trackKey(ctx context.Context, c *call) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	t := &tracked{key: c.key, cancel: cancel}
-	f := &e.inFlight
+	f := &e.keyed
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.requests == nil {
@@ -52,7 +52,7 @@
 	return ctx, func() { f.end(t) }
 }
 
-func (f *inFlight) end(t *tracked) {
+func (f *keyTracker) end(t *tracked) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.requests, t)
@@ -61,7 +61,7 @@
 }
 
 // review looks at the keys of all requests in flight after a change.
-func (f *inFlight) review(s *fgconfig.Snapshot) {
+func (f *keyTracker) review(s *fgconfig.Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for t := range f.requests {
@@ -105,7 +105,7 @@
 func (e *Entry) runWithdrawals(ctx context.Context) {
 	for {
 		changed := e.config.Changed()
-		e.inFlight.review(e.config.State())
+		e.keyed.review(e.config.State())
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/protocol/fgrequest/id.go
+++ b/internal/protocol/fgrequest/id.go
@@ -9,17 +9,10 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 )
 
-// WindowLength is the time after which look-up answers give out a new window.
-const WindowLength = 60 * time.Second
-
-// WindowAt returns the number of the window at a time.
-func WindowAt(t time.Time) uint64 { return uint64(t.Unix()) / uint64(WindowLength.Seconds()) }
-
 // MaxSuffixBytes is the longest suffix that a caller may choose.
 const MaxSuffixBytes = 64
 
--- a/internal/state/fgdedupe/table.go
+++ b/internal/state/fgdedupe/table.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-
-	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
 )
 
 const (
@@ -185,7 +183,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.advance(now)
-	if k.window < t.lowest || k.window > fgrequest.WindowAt(now)+windowsAhead {
+	if k.window < t.lowest || k.window > WindowAt(now)+windowsAhead {
 		return nil, false, merry.Wrap(ErrWindow)
 	}
 	w := t.windows[k.window]
@@ -243,7 +241,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.advance(now)
-	if inWindow < t.lowest || inWindow > fgrequest.WindowAt(now)+windowsAhead {
+	if inWindow < t.lowest || inWindow > WindowAt(now)+windowsAhead {
 		return true
 	}
 	w := t.windows[inWindow]
@@ -332,7 +330,7 @@
 // advance drops the windows that are too old. A clock that steps back does not
 // bring a dropped window back.
 func (t *Table) advance(now time.Time) {
-	current := fgrequest.WindowAt(now)
+	current := WindowAt(now)
 	if current < previousWindows {
 		return
 	}
--- a/internal/state/fgdedupe/table_test.go
+++ b/internal/state/fgdedupe/table_test.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"pgregory.net/rapid"
-
-	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
 )
 
 // TestMain fixes the seed of the property tests; rapid prints it on failure.
@@ -60,7 +58,7 @@
 	id := fmt.Sprint(rapid.IntRange(0, 12).Draw(t, "id"))
 	m := models[id]
 	if m == nil {
-		window := fgrequest.WindowAt(now) + uint64(rapid.IntRange(0, 2).Draw(t, "window"))
+		window := WindowAt(now) + uint64(rapid.IntRange(0, 2).Draw(t, "window"))
 		m = &model{key: NewKey("w"+id[:1], id, window), digest: Digest{id[0]}}
 		models[id] = m
 	}
@@ -117,7 +115,7 @@
 // Guards against early eviction, and against an answer for a window whose
 // requests the table cannot know.
 func TestWindows(t *testing.T) {
-	current := fgrequest.WindowAt(start)
+	current := WindowAt(start)
 	tests := []struct {
 		name   string
 		window uint64
@@ -145,7 +143,7 @@
 // takes all of it.
 func TestFull(t *testing.T) {
 	table := New(Options{MaxEntries: 8})
-	window := fgrequest.WindowAt(start)
+	window := WindowAt(start)
 	for i := range 20 {
 		workspace := fmt.Sprint("w", i%5)
 		_, _, err := table.Begin(NewKey(workspace, fmt.Sprint(i), window), Digest{}, start)
@@ -172,7 +170,7 @@
 // whose answers cannot be kept.
 func TestBytesBound(t *testing.T) {
 	table := New(Options{MaxBytes: 100})
-	window := fgrequest.WindowAt(start)
+	window := WindowAt(start)
 	tests := []struct {
 		bytes int
 		kept  bool
