Stop keyed work on a VM that was suspended

Cause: the monotonic clock stands still while a VM is suspended. After an hour it would have served a withdrawn key for up to 3 s, and told its peers that the platform had answered seconds ago. A move of the wall clock against the monotonic one by more than 1 s now makes the VM forget all ages; a proof by the platform or a peer follows within about 1 s.

Ruled out: comparing by the wall clock alone, which a clock set back would extend. TestSuspendedVM failed before (fresh on waking).

--- a/internal/fgentry/freshness.go
+++ b/internal/fgentry/freshness.go
@@ -26,6 +26,10 @@
 	// a contact directly. In large fleets the ages that cross the overlay can be
 	// older than maxStaleness.
 	askContactBefore = 1500 * time.Millisecond
+	// maxClockJump is how far the wall clock may move against the monotonic one
+	// between two looks. The monotonic clock stands still while a VM is suspended,
+	// so a larger move means that all ages known here are too low.
+	maxClockJump = time.Second
 	// staleRetryAfter is suggested to callers whose keyed request was refused.
 	staleRetryAfter = 2 * time.Second
 )
@@ -34,6 +38,8 @@
 // the monotonic clock, which no adjustment of the wall clock changes.
 type freshness struct {
 	start time.Time
+	// skew is the lead of the wall clock over the monotonic one since start.
+	skew atomic.Int64
 	// until is the end of the permission, in nanoseconds after start.
 	until atomic.Int64
 
@@ -58,7 +64,7 @@
 // checkFresh refuses keyed work while the configuration may lack a withdrawal
 // that others have accepted.
 func (e *Entry) checkFresh() error {
-	if time.Since(e.fresh.start) < time.Duration(e.fresh.until.Load()) {
+	if !e.fresh.forgetAfterSuspension() && time.Since(e.fresh.start) < time.Duration(e.fresh.until.Load()) {
 		return nil
 	}
 	return fgproblem.New(http.StatusServiceUnavailable, fgproblem.CodeStale,
@@ -70,6 +76,26 @@
 	return time.Duration(e.fresh.until.Load()) - time.Since(e.fresh.start)
 }
 
+func (f *freshness) currentSkew() time.Duration {
+	now := time.Now()
+	return now.Round(0).Sub(f.start.Round(0)) - now.Sub(f.start)
+}
+
+// forgetAfterSuspension reports whether the VM was suspended since the last
+// look, and then forgets all that depends on ages.
+func (f *freshness) forgetAfterSuspension() bool {
+	skew, last := f.currentSkew(), f.skew.Load()
+	if moved := skew - time.Duration(last); moved.Abs() <= maxClockJump || !f.skew.CompareAndSwap(last, int64(skew)) {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.newest = time.Time{}
+	clear(f.statements)
+	f.until.Store(0)
+	return true
+}
+
 // askContact asks one contact, of this availability zone if there is one, when
 // the permission to serve keyed work is about to end.
 func (e *Entry) askContact(ctx context.Context) {
@@ -91,6 +117,10 @@
 // observePlatform records an answer to this process's own call.
 func (e *Entry) observePlatform(sent time.Time, a fgsync.Answer) {
 	f := e.fresh
+	if f.forgetAfterSuspension() {
+		// The call may have been sent before the suspension.
+		return
+	}
 	self := e.incarnation.String()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -115,6 +145,9 @@
 // accepted a withdrawal before it lost the platform.
 func (e *Entry) hearFreshness(sent time.Time, n *fgwire.NodeState) {
 	f := e.fresh
+	if f.forgetAfterSuspension() {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if e.config.Generation() < n.GetConfigGeneration() {
@@ -135,6 +168,9 @@
 // ended and accepts no changes.
 func (e *Entry) hearRefused(sent time.Time, incarnation string) {
 	f := e.fresh
+	if f.forgetAfterSuspension() {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.say(incarnation, statement{at: sent})
@@ -158,6 +194,10 @@
 // update computes the permission from what is known, and forgets the statements
 // of processes that are not contacts.
 func (f *freshness) update(contacts []fgmember.Member) {
+	// Small adjustments of the wall clock must not add up to a jump.
+	if skew := f.currentSkew(); (skew - time.Duration(f.skew.Load())).Abs() <= maxClockJump {
+		f.skew.Store(int64(skew))
+	}
 	var until time.Time
 	if !f.newest.IsZero() {
 		until = f.newest.Add(maxStaleness)
@@ -186,6 +226,7 @@
 
 // fill writes what this process knows about the platform into a message.
 func (f *freshness) fill(n *fgwire.NodeState, contacts []fgmember.Member) {
+	f.forgetAfterSuspension()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.newest.IsZero() {
--- a/internal/fgentry/freshness_test.go
+++ b/internal/fgentry/freshness_test.go
@@ -138,6 +138,28 @@
 	})
 }
 
+// Guards against a VM that was suspended for an hour, while its monotonic clock
+// stood still, and serves keyed work or tells peers a false age on waking.
+func TestSuspendedVM(t *testing.T) {
+	inBubble(t, 7, func(f *bubble) {
+		f.issue("vm-0")
+		e := f.entries["vm-4"]
+		suspend := func() { e.fresh.skew.Add(-int64(time.Hour)) }
+		suspend()
+		if e.checkFresh() == nil {
+			t.Error("fresh on waking")
+		}
+		time.Sleep(2 * time.Second)
+		if err := e.checkFresh(); err != nil {
+			t.Errorf("not fresh 2 s after waking: %v", err)
+		}
+		suspend()
+		if n := e.nodeState(); n.PlatformAgeMs != nil {
+			t.Errorf("tells peers an age of %d ms", n.GetPlatformAgeMs())
+		}
+	})
+}
+
 // Guards against an age or a contact's statement that counts before the peer's
 // generation is applied, and against a failed call that outweighs a later answer.
 func TestAgeNeedsGeneration(t *testing.T) {
