--- a/internal/fgstandin/platform.go
+++ b/internal/fgstandin/platform.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 )
 
 // Faults selects how the stand-in platform misbehaves. The zero value is a
@@ -214,7 +215,7 @@
 			return fgstore.Value{}, fgstore.ErrUnavailable
 		}
 		if ok && v.Revision > after {
-			return v, pause(ctx, time.Duration(f.LateWatchMillis)*time.Millisecond)
+			return v, fgtimer.Wait(ctx, time.Duration(f.LateWatchMillis)*time.Millisecond)
 		}
 		select {
 		case <-ctx.Done():
@@ -243,27 +244,12 @@
 		<-ctx.Done()
 		return f, fgstore.ErrUnknown
 	}
-	if err := pause(ctx, time.Duration(f.DelayMillis)*time.Millisecond); err != nil {
+	if err := fgtimer.Wait(ctx, time.Duration(f.DelayMillis)*time.Millisecond); err != nil {
 		return f, fgstore.ErrUnknown
 	}
 	return f, nil
 }
 
-// pause waits, or returns the context's error.
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // writeLate applies a write whose answer was lost, if its revision still holds.
 func (p *Platform) writeLate(key string, expected uint64, data []byte) {
 	p.mu.Lock()
