--- /dev/null
+++ b/internal/fggateway/forward.go
@@ -0,0 +1,299 @@
+package fggateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
+	"github.com/filbertgap/filbertgap/internal/transport/fgpool"
+)
+
+const (
+	// startRetryAfter is told to callers of a gateway that has just started.
+	startRetryAfter = 300 * time.Millisecond
+	// fullRetryAfter is told to callers when no upstream has room. Each caller
+	// gets up to twice this time, so that they do not return together.
+	fullRetryAfter = 100 * time.Millisecond
+	// leastLeft is the time that a send must have: the way to another region and
+	// back, or there is no use in it.
+	leastLeft = 20 * time.Millisecond
+	// maxUnreached is how many upstreams that cannot be reached are passed over.
+	maxUnreached = 3
+	// bufferedBytes of an answer are read before the first byte is passed on, so
+	// that an answer that breaks off can be replaced.
+	bufferedBytes = 64 << 10
+)
+
+// answered is an upstream's answer, with as much of its body as was read.
+type answered struct {
+	*fgpool.Answer
+
+	says     fgmessage.Answer
+	body     []byte
+	whole    bool
+	upstream *fgaffinity.Upstream
+}
+
+// forward sends a request to upstreams until one answers or no further try is
+// allowed.
+func (g *Gateway) forward(w http.ResponseWriter, r *http.Request, q *request) {
+	ctx, cancel := q.context(r)
+	defer cancel()
+	q.group = g.pickGroup(q)
+	unreached := 0
+	var no *refusal
+	for {
+		if r.Context().Err() != nil {
+			g.logEnd(q, statusCallerLeft, "the caller left", "")
+			panic(http.ErrAbortHandler)
+		}
+		if time.Until(q.deadline) < leastLeft {
+			no = q.late()
+			break
+		}
+		u, err := g.balancer.Choose(fgaffinity.Choice{Group: q.group, Object: q.object(), Regions: q.regions(), Tried: q.tried})
+		if err != nil {
+			if no == nil {
+				no = q.full("no upstream can take the request")
+			}
+			break
+		}
+		q.tried = append(q.tried, u)
+		a, result, failure := g.send(ctx, r, q, u)
+		if failure == nil {
+			g.deliver(w, q, a)
+			return
+		}
+		no = failure
+		if result == fgaffinity.Unreached || result == fgaffinity.Replaced {
+			if unreached++; unreached <= maxUnreached {
+				continue
+			}
+			break
+		}
+		if result == fgaffinity.Left || q.mayHaveRun && !q.route.Idempotent || q.sends >= q.route.MaxAttempts || !g.allowRepeat(q) {
+			break
+		}
+	}
+	if r.Context().Err() != nil {
+		g.logEnd(q, statusCallerLeft, "the caller left", "")
+		panic(http.ErrAbortHandler)
+	}
+	g.refuse(w, q, no)
+}
+
+// statusCallerLeft stands in log lines for an answer that nobody waits for.
+const statusCallerLeft = 499
+
+// object returns what decides the upstream. Requests of routes that gain
+// nothing from it go to the least loaded one.
+func (q *request) object() string {
+	if q.route.Sticky && q.Object != "" {
+		return q.route.Name + "/" + q.Object
+	}
+	return ""
+}
+
+// send hands a request to one upstream. A nil refusal means that the answer is
+// to be delivered.
+func (g *Gateway) send(ctx context.Context, r *http.Request, q *request, u *fgaffinity.Upstream) (*answered, fgaffinity.Result, *refusal) {
+	spec := u.Spec()
+	f := fgmessage.Forward{Left: time.Until(q.deadline), UpstreamID: spec.ID}
+	if q.workspace != nil {
+		f.Workspace = q.workspace.Name
+	}
+	g.dialect.WriteForward(q.header, f)
+	var says fgmessage.Answer
+	a, err := g.pool.Send(ctx, fgpool.Target{ID: spec.ID, Address: spec.Address}, fgpool.Request{
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: q.header, Body: q.body,
+		Accept: func(res *http.Response) bool {
+			says = g.dialect.ReadAnswer(res)
+			return says.AttemptID == q.AttemptID || says.AttemptID == "" && says.NotRun
+		},
+	})
+	if err != nil {
+		return nil, g.unanswered(ctx, q, u, err), q.failed(ctx, err)
+	}
+	q.sends++
+	if says.HasLoad {
+		g.balancer.Load(u, says.Load.Running+says.Load.Waiting)
+	}
+	one := &answered{Answer: a, says: says, upstream: u}
+	return one, g.examine(q, one), q.examined(one)
+}
+
+// unanswered counts a send that no answer came to.
+func (g *Gateway) unanswered(ctx context.Context, q *request, u *fgaffinity.Upstream, err error) fgaffinity.Result {
+	result := fgaffinity.Lost
+	switch {
+	case ctx.Err() != nil:
+		result = fgaffinity.Left
+	case errors.Is(err, fgpool.ErrNotSent):
+		result = fgaffinity.Unreached
+	}
+	if !errors.Is(err, fgpool.ErrNotSent) {
+		q.sends++
+		q.mayHaveRun = true
+	}
+	g.balancer.Done(u, result)
+	g.logger.V(0).Info("send failed", "attempt", q.AttemptID, "upstream", u.Spec().ID, "sent", q.mayHaveRun, "error", err.Error())
+	return result
+}
+
+// failed returns the refusal for a send that no answer came to.
+func (q *request) failed(ctx context.Context, err error) *refusal {
+	switch {
+	case ctx.Err() != nil:
+		return q.late()
+	case q.mayHaveRun:
+		return &refusal{status: http.StatusBadGateway, reason: "the connection to the upstream broke; the request may have run"}
+	default:
+		return q.full("the upstream cannot be reached")
+	}
+}
+
+// examine reads an answer as far as needed to judge it, and counts it.
+func (g *Gateway) examine(q *request, a *answered) fgaffinity.Result {
+	a.body, a.whole = readPart(a.Body)
+	result := fgaffinity.Answered
+	switch {
+	case a.says.OtherUpstream:
+		result = fgaffinity.Replaced
+	case a.says.NotRun:
+		result = fgaffinity.Shed
+	case a.body == nil, a.StatusCode < 300 && !a.says.Signed:
+		result = fgaffinity.Lost
+		q.mayHaveRun = true
+	case a.StatusCode >= http.StatusInternalServerError:
+		result = fgaffinity.Failed
+		q.mayHaveRun = true
+	default:
+		q.mayHaveRun = true
+	}
+	if result != fgaffinity.Answered {
+		a.Close(a.whole && result != fgaffinity.Lost, a.says.IdleFor)
+		a.whole = true
+		g.balancer.Done(a.upstream, result)
+	}
+	return result
+}
+
+// examined returns the refusal that stands for an answer which is not passed
+// on, or nil.
+func (q *request) examined(a *answered) *refusal {
+	switch {
+	case a.says.NotRun:
+		return q.full("the upstream refused the request")
+	case a.body == nil, a.StatusCode < 300 && !a.says.Signed:
+		return &refusal{status: http.StatusBadGateway, reason: "the upstream's answer is not whole"}
+	default:
+		return nil
+	}
+}
+
+// readPart reads the first part of a body. A nil slice means that it broke off;
+// whole that its end was reached.
+func readPart(body io.Reader) (part []byte, whole bool) {
+	part, err := io.ReadAll(io.LimitReader(body, bufferedBytes))
+	if err != nil {
+		return nil, false
+	}
+	return part, len(part) < bufferedBytes
+}
+
+// deliver passes an answer on to the caller.
+func (g *Gateway) deliver(w http.ResponseWriter, q *request, a *answered) {
+	h := w.Header()
+	for field, values := range forwardedHeader(a.Header) {
+		h[field] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		// Keeps net/http from guessing one.
+		h["Content-Type"] = nil
+	}
+	if a.ContentLength >= 0 {
+		h["Content-Length"] = a.Header["Content-Length"]
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.WriteHeader(a.StatusCode)
+	_, err := w.Write(a.body)
+	failed := a.StatusCode >= http.StatusInternalServerError
+	if !a.whole && err == nil {
+		_, err = io.Copy(w, a.Body)
+	}
+	if !failed {
+		a.Close(err == nil, a.says.IdleFor)
+		g.balancer.Done(a.upstream, fgaffinity.Answered)
+	}
+	if err != nil {
+		g.logEnd(q, statusCallerLeft, "the answer was cut: "+err.Error(), a.upstream.Spec().ID)
+		panic(http.ErrAbortHandler)
+	}
+	g.logEnd(q, a.StatusCode, "answered", a.upstream.Spec().ID)
+}
+
+// writeTimeout bounds how long a caller may take to receive an answer.
+const writeTimeout = 10 * time.Second
+
+// late returns the refusal of a request whose time has run out.
+func (q *request) late() *refusal {
+	if q.mayHaveRun {
+		return &refusal{status: http.StatusGatewayTimeout, reason: "no answer came in time; the request may have run"}
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "the time ran out before the request was sent"}
+}
+
+// full returns the refusal of a request that nobody ran, or that somebody may
+// have run before.
+func (q *request) full(reason string) *refusal {
+	if q.mayHaveRun {
+		return &refusal{status: http.StatusBadGateway, reason: reason + "; an earlier try may have run"}
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: fullRetryAfter + rand.N(fullRetryAfter)}
+}
+
+// regions returns where a request may run: where both its route and its
+// workspace allow it.
+func (q *request) regions() []string {
+	if q.workspace == nil || len(q.workspace.Regions) == 0 {
+		return q.route.Regions
+	}
+	if len(q.route.Regions) == 0 {
+		return q.workspace.Regions
+	}
+	both := []string{""}
+	for _, a := range q.route.Regions {
+		for _, b := range q.workspace.Regions {
+			if a == b {
+				both = append(both, a)
+			}
+		}
+	}
+	return both
+}
+
+// pickGroup divides a route's requests between its groups by weight.
+func (g *Gateway) pickGroup(q *request) string {
+	total := 0
+	for _, one := range q.route.Groups {
+		total += one.Weight
+	}
+	if total <= 0 {
+		return q.route.Groups[0].Group
+	}
+	n := rand.IntN(total)
+	for _, one := range q.route.Groups {
+		if n -= one.Weight; n < 0 {
+			return one.Group
+		}
+	}
+	return q.route.Groups[0].Group
+}
+
+// allowRepeat reports whether a request may be sent to a further upstream.
+func (g *Gateway) allowRepeat(*request) bool { return true }
--- /dev/null
+++ b/internal/fggateway/gateway.go
@@ -0,0 +1,212 @@
+// Package fggateway assembles a gateway: the process on each entry VM of a
+// platform that keeps all lasting state in its own store. It answers callers'
+// look-ups and passes their requests on to upstreams in any region.
+package fggateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgmirror"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+	"github.com/filbertgap/filbertgap/internal/fglog"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
+	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
+	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
+	"github.com/filbertgap/filbertgap/internal/transport/fgpool"
+)
+
+const (
+	// readHeaderTimeout bounds how long a caller may take to send its header.
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout is how long a caller's connection may stay idle. Callers may
+	// use one that was idle for four fifths of the declared time.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds a caller's header; net/http adds 4 KiB to it.
+	maxHeaderBytes = 64 << 10
+	// acceptFor is how long a stopping gateway takes requests: callers keep
+	// look-up answers for up to three lifetimes.
+	acceptFor = 3 * time.Second
+	// stopMargin is left between the last answer and the platform's SIGKILL.
+	stopMargin = 400 * time.Millisecond
+)
+
+// Settings are what a gateway needs to know about its VM.
+type Settings struct {
+	Self           fgsteer.MemberSpec
+	CallerListen   string
+	ReadyListen    string
+	LookupListen   string
+	PeerListen     string
+	MetricsListen  string
+	LookupLifetime time.Duration
+	// Grace is the time from the order to stop to the process's end.
+	Grace     time.Duration
+	ColdOver  float64
+	ColdSlack int
+}
+
+// Options are a gateway's collaborators.
+type Options struct {
+	Settings Settings
+	Feed     fgstore.Feed
+	Codec    fgmirror.Codec
+	// Entry returns the key and the value by which the gateway announces itself.
+	Entry   func(fgsteer.MemberSpec) (string, []byte, error)
+	Dialect fgmessage.Dialect
+	Logger  logr.Logger
+}
+
+// Gateway is one gateway process.
+type Gateway struct {
+	options  Options
+	settings Settings
+	dialect  fgmessage.Dialect
+	logger   logr.Logger
+	mirror   *fgmirror.Mirror
+	balancer *fgaffinity.Balancer
+	pool     fgpool.Pool
+	logs     logs
+	leaving  atomic.Bool
+}
+
+// logs bound the lines about requests.
+type logs struct{ served, failed *fglog.Sampler }
+
+const (
+	// servedLines and failedLines bound the lines per second about requests;
+	// lines about failures are kept longest.
+	servedLines = 10
+	failedLines = 100
+)
+
+// New returns a gateway. Nothing runs before Run.
+func New(o Options) *Gateway {
+	o.Settings.Self.Incarnation = rand.Uint64()
+	g := &Gateway{
+		options:  o,
+		settings: o.Settings,
+		dialect:  o.Dialect,
+		logger:   o.Logger,
+		logs:     logs{served: fglog.NewSampler(servedLines), failed: fglog.NewSampler(failedLines)},
+		balancer: fgaffinity.New(fgaffinity.Options{
+			Region: o.Settings.Self.Region, AvailabilityZone: o.Settings.Self.AvailabilityZone, VM: o.Settings.Self.VM,
+			ColdOver: o.Settings.ColdOver, ColdSlack: o.Settings.ColdSlack,
+		}),
+	}
+	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.balancer.Update})
+	return g
+}
+
+// listener is one address that the gateway serves.
+type listener struct {
+	name, address string
+	server        *http.Server
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	self := g.settings.Self
+	key, entry, err := g.options.Entry(self)
+	if err != nil {
+		return err
+	}
+	g.logger.Info("gateway starts", "vm", self.VM, "incarnation", self.Incarnation, "region", self.Region,
+		"availabilityZone", self.AvailabilityZone, "caller", g.settings.CallerListen, "lookup", g.settings.LookupListen)
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	announcing, withdraw := context.WithCancel(background)
+	defer withdraw()
+
+	callers := g.newServer(http.HandlerFunc(g.serveCaller))
+	listeners := []listener{
+		{"callers", g.settings.CallerListen, callers},
+		{"ready", g.settings.ReadyListen, g.newServer(g.readyHandler())},
+		{"lookup", g.settings.LookupListen, g.newServer(g.lookupHandler())},
+	}
+	ends := make(chan error, len(listeners)+3)
+	for _, l := range listeners {
+		socket, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fmt.Errorf("%s: %w", l.name, err)
+		}
+		go func() { ends <- partEnd(l.name, l.server.Serve(socket)) }()
+	}
+	go func() { ends <- partEnd("mirror", g.mirror.Run(background)) }()
+	announced := make(chan error, 1)
+	go func() { announced <- g.mirror.Announce(announcing, key, entry) }()
+	go func() { ends <- partEnd("pool", g.pool.Run(background)) }()
+
+	select {
+	case err := <-ends:
+		return err
+	case <-ctx.Done():
+	}
+	g.stop(callers, withdraw)
+	cancel()
+	<-announced
+	for _, l := range listeners[1:] {
+		_ = l.server.Close()
+	}
+	g.logger.Info("gateway stopped", "vm", self.VM)
+	return nil
+}
+
+// partEnd describes why a part of the gateway ended.
+func partEnd(name string, err error) error {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return fmt.Errorf("%s ended: %w", name, err)
+}
+
+func (g *Gateway) newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
+	}
+}
+
+// stop leaves without cutting a request: the VM disappears from look-ups, goes
+// on serving callers that still hold an answer, and closes each connection with
+// its next answer.
+func (g *Gateway) stop(callers *http.Server, withdraw func()) {
+	began := time.Now()
+	g.logger.Info("gateway is leaving", "vm", g.settings.Self.VM, "grace", g.settings.Grace.String())
+	g.leaving.Store(true)
+	withdraw()
+	_ = fgtimer.Wait(context.Background(), min(acceptFor, g.settings.Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.Grace-stopMargin))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		g.logger.Info("requests still in flight at the end of the grace period", "error", err.Error())
+		_ = callers.Close()
+	}
+}
+
+// ready reports whether callers should come here.
+func (g *Gateway) ready() bool {
+	v := g.mirror.View()
+	return v != nil && v.Policy() != nil && !g.leaving.Load()
+}
+
+func (g *Gateway) readyHandler() http.Handler {
+	r := httprouter.New()
+	method, path := g.dialect.Ready()
+	r.Handle(method, path, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if !g.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
--- /dev/null
+++ b/internal/fggateway/request.go
@@ -0,0 +1,191 @@
+package fggateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
+	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
+)
+
+// request is a caller's request on its way through the gateway.
+type request struct {
+	fgmessage.Request
+
+	began     time.Time
+	deadline  time.Time
+	view      *fgsteer.View
+	route     *fgsteer.RouteSpec
+	workspace *fgsteer.WorkspaceSpec
+	group     string
+	header    http.Header
+	body      []byte
+	// tried lists the upstreams that the request was handed to.
+	tried []*fgaffinity.Upstream
+	// mayHaveRun means that some upstream may have run the request.
+	mayHaveRun bool
+	sends      int
+}
+
+// refusal is an answer of the gateway's own.
+type refusal struct {
+	status int
+	reason string
+	// retryAfter is told to the caller if it is positive.
+	retryAfter time.Duration
+}
+
+// serveCaller serves one request of a caller.
+func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	q := &request{Request: g.dialect.ReadRequest(r.Header), began: time.Now(), view: g.mirror.View()}
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if no := g.admit(w, r, q); no != nil {
+		g.refuse(w, q, no)
+		return
+	}
+	g.forward(w, r, q)
+}
+
+// admit decides whether a request may run, and reads it whole.
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, q *request) *refusal {
+	if q.view == nil || q.view.Policy() == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no policy is known yet", retryAfter: startRetryAfter}
+	}
+	policy := q.view.Policy()
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return &refusal{status: http.StatusBadRequest, reason: "the request target is not a path"}
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route, ok := policy.Route(hostname(r.Host), path)
+	if !ok {
+		return &refusal{status: http.StatusNotFound, reason: "no route matches"}
+	}
+	q.route = route
+	if policy.KeyRequired() && !route.Open {
+		if q.workspace, ok = policy.WorkspaceOf(q.Key); !ok {
+			return &refusal{status: http.StatusUnauthorized, reason: "the key is unknown"}
+		}
+	}
+	limit := route.Timeout
+	if q.Patience > 0 {
+		limit = min(limit, q.Patience)
+	}
+	q.deadline = q.began.Add(limit)
+	if no := q.readBody(w, r, policy.Limits().MaxBodyBytes); no != nil {
+		return no
+	}
+	q.header = forwardedHeader(r.Header)
+	return nil
+}
+
+// readBody reads the caller's body, which is needed whole to send it again to
+// another upstream when one has refused it.
+func (q *request) readBody(w http.ResponseWriter, r *http.Request, limit int64) *refusal {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	c := http.NewResponseController(w)
+	_ = c.SetReadDeadline(q.deadline)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	// A deadline that passes later would look like the caller's leaving.
+	_ = c.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+	case err != nil:
+		return &refusal{status: http.StatusRequestTimeout, reason: "the body did not arrive: " + err.Error()}
+	}
+	q.body = body
+	return nil
+}
+
+// hostname returns a host without its port.
+func hostname(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		return h
+	}
+	return host
+}
+
+// hopByHop lists the header fields that belong to one connection.
+var hopByHop = []string{
+	"Connection", "Content-Length", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// forwardedHeader returns a copy without what belongs to one connection.
+func forwardedHeader(h http.Header) http.Header {
+	out := h.Clone()
+	for _, value := range h["Connection"] {
+		for field := range strings.SplitSeq(value, ",") {
+			out.Del(strings.TrimSpace(field))
+		}
+	}
+	for _, field := range hopByHop {
+		delete(out, field)
+	}
+	return out
+}
+
+// context returns the context of the request's sends. An idempotent request
+// ends when its caller leaves; another one that was sent goes on, since its
+// caller may have wanted its effect.
+func (q *request) context(r *http.Request) (context.Context, context.CancelFunc) {
+	ctx := r.Context()
+	if !q.route.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithDeadline(ctx, q.deadline)
+}
+
+// refuse answers a request that no upstream answered.
+func (g *Gateway) refuse(w http.ResponseWriter, q *request, no *refusal) {
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if no.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(no.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(no.status)
+	if _, err := io.WriteString(w, no.reason+"\n"); err != nil {
+		g.logger.V(1).Info("refusal not written", "attempt", q.AttemptID, "error", err.Error())
+	}
+	g.logEnd(q, no.status, no.reason, "")
+}
+
+// logEnd writes the line about a request's end, within the bounds for lines.
+func (g *Gateway) logEnd(q *request, status int, reason, upstream string) {
+	sampler := g.logs.served
+	if status >= http.StatusBadRequest {
+		sampler = g.logs.failed
+	}
+	skipped, ok := sampler.Allow(q.began)
+	if !ok {
+		return
+	}
+	route, workspace, version, revision := "", "", int64(0), int64(0)
+	if q.route != nil {
+		route = q.route.Name
+	}
+	if q.workspace != nil {
+		workspace = q.workspace.Name
+	}
+	if q.view != nil {
+		revision = q.view.Revision()
+		if p := q.view.Policy(); p != nil {
+			version = p.Version()
+		}
+	}
+	g.logger.Info("request ended", "attempt", q.AttemptID, "status", status, "reason", reason, "route", route,
+		"workspace", workspace, "group", q.group, "object", q.Object, "upstream", upstream, "sends", q.sends, "ms", time.Since(q.began).Milliseconds(),
+		"policy", version, "revision", revision, "storeAgeMs", g.mirror.Age().Milliseconds(), "skippedLines", skipped)
+}
