Bound the load and the repeats of upstreams

An upstream now gets requests up to 1.5 of its slots, estimated from its own account and this VM's requests; what finds no room is refused at once. Repeats are paid from the VM's part of the fleet's bound.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -18,9 +18,6 @@
 	// choices is how many upstreams an object may lie on before the least
 	// loaded one of the group is taken.
 	choices = 3
-	// fullUse is the load per slot above which an object's upstream is passed
-	// over for the next one.
-	fullUse = 1.0
 	// coldWindow is the time in which a cold upstream's requests are counted. It
 	// is longer than the second that the bound names, since requests are late on
 	// the way by different times.
@@ -29,8 +26,13 @@
 	coldPart = 0.8
 )
 
-// ErrNoUpstream means that no upstream may take the request.
-var ErrNoUpstream = merry.Sentinel("no upstream can take the request")
+// Sentinel errors of Choose.
+var (
+	// ErrNoUpstream means that no upstream may take the request.
+	ErrNoUpstream = merry.Sentinel("no upstream can take the request")
+	// ErrFull means that the upstreams for the request have no room.
+	ErrFull = merry.Sentinel("the upstreams for the request are full")
+)
 
 // Options are the bounds that a Balancer keeps.
 type Options struct {
@@ -116,6 +118,8 @@
 	Regions []string
 	// Tried lists the upstreams that already had the request.
 	Tried []*Upstream
+	// Room is the load per slot above which an upstream is full for the request.
+	Room float64
 }
 
 // candidate is an upstream with its rank for one request.
@@ -135,14 +139,21 @@
 	now := time.Now()
 	var buffer [64]candidate
 	ranked := b.rank(s, g, c, now, buffer[:0])
+	if len(ranked) == 0 {
+		return nil, ErrNoUpstream
+	}
 	for _, one := range order(ranked, c.Object != "", int64(now.Sub(b.epoch))) {
-		if one.upstream.cold(now) && !one.upstream.takeCold(now, b.coldShare(s, g, one.upstream)) {
+		u := one.upstream
+		if u.use(int64(now.Sub(b.epoch))) >= c.Room {
 			continue
 		}
-		one.upstream.inFlight.Add(1)
-		return one.upstream, nil
+		if u.cold(now) && !u.takeCold(now, b.coldShare(s, g, u)) {
+			continue
+		}
+		u.inFlight.Add(1)
+		return u, nil
 	}
-	return nil, ErrNoUpstream
+	return nil, ErrFull
 }
 
 // rank returns the upstreams that may take a request, best first by rendezvous
@@ -190,18 +201,11 @@
 	return h ^ h>>33
 }
 
-// order puts the upstream to try first at the front: the object's first one
-// that is not full, or else the least loaded of all.
+// order returns the upstreams to try, best first: those that the object may lie
+// on, or the least loaded ones.
 func order(ranked []candidate, sticky bool, now int64) []candidate {
 	if sticky {
-		for i := range min(choices, len(ranked)) {
-			if ranked[i].upstream.use(now) < fullUse {
-				one := ranked[i]
-				copy(ranked[1:i+1], ranked[:i])
-				ranked[0] = one
-				return ranked
-			}
-		}
+		return ranked[:min(choices, len(ranked))]
 	}
 	slices.SortStableFunc(ranked, func(x, y candidate) int {
 		return cmp.Compare(x.upstream.use(now), y.upstream.use(now))
--- a/internal/fgcommand/gateway.go
+++ b/internal/fgcommand/gateway.go
@@ -69,6 +69,7 @@
 			PeerListen: s.PeerListen, MetricsListen: s.MetricsListen,
 			LookupLifetime: s.Bounds.LookupLifetime, Grace: s.Bounds.Grace,
 			ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack,
+			RepeatRatio: s.Bounds.RepeatRatio, RepeatExtra: s.Bounds.RepeatExtra, RepeatWindow: s.Bounds.RepeatWindow,
 		},
 		Feed: fgadapter.NewStore(s.StoreAddress), Codec: codec, Entry: codec.EncodeMember,
 		Dialect: fgadapter.Dialect{}, Logger: newLogger(w),
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -24,6 +24,9 @@
 	leastLeft = 20 * time.Millisecond
 	// maxUnreached is how many upstreams that cannot be reached are passed over.
 	maxUnreached = 3
+	// room is the load per slot up to which an upstream gets requests. What waits
+	// at an upstream beyond its slots is late, and makes all behind it late.
+	room = 1.5
 	// bufferedBytes of an answer are read before the first byte is passed on, so
 	// that an answer that breaks off can be replaced.
 	bufferedBytes = 64 << 10
@@ -45,6 +48,7 @@
 	ctx, cancel := q.context(r)
 	defer cancel()
 	q.group = g.pickGroup(q)
+	g.repeats.Earn(q.group)
 	unreached := 0
 	var no *refusal
 	for {
@@ -56,10 +60,10 @@
 			no = q.late()
 			break
 		}
-		u, err := g.balancer.Choose(fgaffinity.Choice{Group: q.group, Object: q.object(), Regions: q.regions(), Tried: q.tried})
+		u, err := g.balancer.Choose(fgaffinity.Choice{Group: q.group, Object: q.object(), Regions: q.regions(), Tried: q.tried, Room: room})
 		if err != nil {
 			if no == nil {
-				no = q.full("no upstream can take the request")
+				no = q.full(err.Error())
 			}
 			break
 		}
@@ -296,4 +300,4 @@
 }
 
 // allowRepeat reports whether a request may be sent to a further upstream.
-func (g *Gateway) allowRepeat(*request) bool { return true }
+func (g *Gateway) allowRepeat(q *request) bool { return g.repeats.Take(q.group) }
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -54,6 +54,10 @@
 	Grace     time.Duration
 	ColdOver  float64
 	ColdSlack int
+	// RepeatRatio, RepeatExtra and RepeatWindow bound repeats over all VMs.
+	RepeatRatio  float64
+	RepeatExtra  int
+	RepeatWindow time.Duration
 }
 
 // Options are a gateway's collaborators.
@@ -75,6 +79,7 @@
 	logger   logr.Logger
 	mirror   *fgmirror.Mirror
 	balancer *fgaffinity.Balancer
+	repeats  fgaffinity.Repeats
 	pool     fgpool.Pool
 	logs     logs
 	leaving  atomic.Bool
@@ -104,10 +109,17 @@
 			ColdOver: o.Settings.ColdOver, ColdSlack: o.Settings.ColdSlack,
 		}),
 	}
-	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.balancer.Update})
+	g.repeats.Ratio, g.repeats.Extra, g.repeats.Window = o.Settings.RepeatRatio, o.Settings.RepeatExtra, o.Settings.RepeatWindow
+	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.update})
 	return g
 }
 
+// update takes over a view.
+func (g *Gateway) update(v *fgsteer.View) {
+	g.balancer.Update(v)
+	g.repeats.SetMembers(len(v.Members()))
+}
+
 // listener is one address that the gateway serves.
 type listener struct {
 	name, address string
