Count the rates of workspaces over all gateways

Gateways tell each other five times a second in a datagram what they admitted and what was asked, as totals. Each spends its part of the estimated tokens. The same datagram shows which gateways live, so look-ups leave lost ones out after 1.2 s, and whether a gateway's copy of the store lags; it then fetches a peer's copy over drpc.

--- /dev/null
+++ b/internal/coordination/fgquota/meter.go
@@ -0,0 +1,298 @@
+// Package fgquota admits requests within the rates of workspaces, which count
+// the requests of all VMs together.
+//
+// Each VM estimates the tokens that are left of every rate: it spends its own
+// requests at once and those of the others as they report them. Between two
+// reports it spends no more than its part of these tokens, which is its part of
+// the demand. Many VMs that see the same last tokens therefore do not all spend
+// them, and what one spends too much is missing from the estimate of all.
+package fgquota
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
+)
+
+const (
+	// demandWindow is the time over which demand is averaged.
+	demandWindow = time.Second
+	// leastDemand is the demand per second that a VM without any counts for, so
+	// that its first requests find an allowance.
+	leastDemand = 0.5
+	// silentAfter is how long a peer may be silent before it is taken to spend
+	// its part of each rate unheard.
+	silentAfter = 800 * time.Millisecond
+	// forgetAfter removes a silent peer that is not registered any more.
+	forgetAfter = 5 * time.Second
+	// slackPart is the part of the allowed excess that is added to a burst. Small
+	// workspaces need it: their few tokens are spread over all VMs.
+	slackPart = 0.5
+)
+
+// Options are the bounds that the users hold rates to.
+type Options struct {
+	// Slack is the number of requests that a workspace may exceed its rate by in
+	// a window.
+	Slack int
+}
+
+// Meter counts the requests of workspaces. It is safe for concurrent use.
+type Meter struct {
+	options Options
+
+	mu     sync.Mutex
+	limits map[string]*limit
+	// byHash finds the limits that peers report on.
+	byHash  map[uint32]*limit
+	peers   map[string]*peer
+	members int
+}
+
+// limit is one workspace's rate as this VM sees it.
+type limit struct {
+	name        string
+	rate, burst float64
+	// tokens estimates what is left for all VMs, allowance what this VM may
+	// spend of it before the next reports.
+	tokens, allowance float64
+	refilled          time.Time
+	// admitted counts this VM's requests, demand averages what was asked.
+	admitted int64
+	demand   float64
+	asked    float64
+	// share is this VM's part of the demand.
+	share float64
+}
+
+// peer is what another VM reported.
+type peer struct {
+	incarnation uint64
+	sequence    uint64
+	heard       time.Time
+	uses        map[uint32]*use
+}
+
+type use struct {
+	admitted int64
+	demand   float64
+	// assumed is what was spent for the peer since its last report.
+	assumed float64
+}
+
+// Use is one VM's use of a workspace's rate.
+type Use struct {
+	Workspace uint32
+	Admitted  int64
+	Demand    float64
+}
+
+// New returns a meter that knows no rates.
+func New(o Options) *Meter {
+	return &Meter{options: o, limits: map[string]*limit{}, byHash: map[uint32]*limit{}, peers: map[string]*peer{}, members: 1}
+}
+
+// Hash returns the name under which workspaces stand in reports.
+func Hash(workspace string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(workspace))
+	return h.Sum32()
+}
+
+// SetPolicy takes over the declared rates. A new rate begins without tokens,
+// since they may have been spent by an earlier process.
+func (m *Meter) SetPolicy(p *fgsteer.Policy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	limits := map[string]*limit{}
+	m.byHash = map[uint32]*limit{}
+	for _, w := range p.Workspaces() {
+		if w.Rate <= 0 {
+			continue
+		}
+		l := m.limits[w.Name]
+		if l == nil {
+			l = &limit{name: w.Name, refilled: now, share: 1 / float64(max(1, m.members))}
+		}
+		l.rate, l.burst = w.Rate, w.Burst+slackPart*float64(m.options.Slack)
+		l.tokens = min(l.tokens, l.burst)
+		limits[w.Name] = l
+		m.byHash[Hash(w.Name)] = l
+	}
+	m.limits = limits
+}
+
+// SetMembers tells which VMs are registered.
+func (m *Meter) SetMembers(vms []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members = max(1, len(vms))
+	registered := map[string]bool{}
+	for _, vm := range vms {
+		registered[vm] = true
+	}
+	for vm, p := range m.peers {
+		if !registered[vm] && time.Since(p.heard) > forgetAfter {
+			delete(m.peers, vm)
+		}
+	}
+}
+
+// Decision tells whether a request may run, and the numbers that decided it.
+type Decision struct {
+	Allowed bool
+	// Tokens and Allowance are what was left before the request.
+	Tokens, Allowance float64
+	Share             float64
+	// RetryAfter is when the request may be repeated.
+	RetryAfter time.Duration
+}
+
+// Admit counts a request of a workspace, if its rate allows it.
+func (m *Meter) Admit(workspace string) Decision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.limits[workspace]
+	if l == nil {
+		return Decision{Allowed: true}
+	}
+	l.refill(time.Now())
+	l.asked++
+	d := Decision{Tokens: l.tokens, Allowance: l.allowance, Share: l.share}
+	if l.tokens >= 1 && l.allowance >= 1 {
+		l.tokens--
+		l.allowance--
+		l.admitted++
+		d.Allowed = true
+		return d
+	}
+	d.RetryAfter = l.wait()
+	return d
+}
+
+// GiveBack returns the token of a request that did not run.
+func (m *Meter) GiveBack(workspace string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l := m.limits[workspace]; l != nil {
+		l.tokens = min(l.tokens+1, l.burst)
+		l.allowance++
+		l.admitted--
+	}
+}
+
+// refill adds what time has brought.
+func (l *limit) refill(now time.Time) {
+	more := l.rate * now.Sub(l.refilled).Seconds()
+	l.refilled = now
+	l.tokens = min(l.tokens+more, l.burst)
+	l.allowance = min(l.allowance+l.share*more, l.burst)
+}
+
+// The times after which refused requests may come back.
+const (
+	leastWait = 200 * time.Millisecond
+	mostWait  = 2 * time.Second
+)
+
+// wait returns when a token will be left for this VM.
+func (l *limit) wait() time.Duration {
+	missing := max(1-l.tokens, 1-l.allowance)
+	return min(max(time.Duration(missing/(l.rate*l.share)*float64(time.Second)), leastWait), mostWait)
+}
+
+// Tick renews the allowances. It is called once before each report; elapsed is
+// the time since the last call.
+func (m *Meter) Tick(elapsed time.Duration) []Use {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	weight := min(1, elapsed.Seconds()/demandWindow.Seconds())
+	uses := make([]Use, 0, len(m.limits))
+	for _, l := range m.limits {
+		l.demand += weight * (l.asked/max(elapsed.Seconds(), 1e-3) - l.demand)
+		l.asked = 0
+		l.refill(now)
+		m.assume(l, now, elapsed)
+		m.renew(l)
+		if l.admitted != 0 || l.demand > leastDemand {
+			uses = append(uses, Use{Workspace: Hash(l.name), Admitted: l.admitted, Demand: l.demand})
+		}
+	}
+	return uses
+}
+
+// assume spends the rate of peers that have been silent for a while: they may
+// still serve callers.
+func (m *Meter) assume(l *limit, now time.Time, elapsed time.Duration) {
+	for _, p := range m.peers {
+		u := p.uses[Hash(l.name)]
+		if u == nil || now.Sub(p.heard) < silentAfter {
+			continue
+		}
+		spent := min(u.demand, l.rate*u.demand/max(m.totalDemand(l), leastDemand)) * elapsed.Seconds()
+		u.assumed += spent
+		l.tokens -= spent
+	}
+}
+
+// totalDemand returns the demand of all VMs.
+func (m *Meter) totalDemand(l *limit) float64 {
+	total := max(l.demand, leastDemand)
+	known := 1
+	hash := Hash(l.name)
+	for _, p := range m.peers {
+		known++
+		if u := p.uses[hash]; u != nil {
+			total += max(u.demand, leastDemand)
+		} else {
+			total += leastDemand
+		}
+	}
+	return total + leastDemand*float64(max(0, m.members-known))
+}
+
+// renew gives this VM its part of the tokens that are left.
+func (m *Meter) renew(l *limit) {
+	l.share = max(l.demand, leastDemand) / m.totalDemand(l)
+	l.allowance = l.share * l.tokens
+	if l.tokens >= max(1, float64(m.members)/4) {
+		l.allowance = max(1, l.allowance)
+	}
+}
+
+// Hear takes in another VM's report.
+func (m *Meter) Hear(vm string, incarnation, sequence uint64, uses []Use) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[vm]
+	if p == nil || p.incarnation != incarnation {
+		p = &peer{incarnation: incarnation, uses: map[uint32]*use{}}
+		m.peers[vm] = p
+	} else if sequence <= p.sequence {
+		return
+	}
+	first := p.heard.IsZero()
+	p.sequence, p.heard = sequence, time.Now()
+	for _, one := range uses {
+		l := m.byHash[one.Workspace]
+		u := p.uses[one.Workspace]
+		if u == nil {
+			u = &use{}
+			p.uses[one.Workspace] = u
+			if first {
+				// What was spent before this VM knew the peer is not known to be
+				// recent.
+				u.admitted = one.Admitted
+			}
+		}
+		if l != nil {
+			l.tokens -= float64(one.Admitted-u.admitted) - u.assumed
+			l.tokens = min(l.tokens, l.burst)
+		}
+		u.admitted, u.demand, u.assumed = one.Admitted, one.Demand, 0
+	}
+}
--- a/internal/fgcommand/gateway.go
+++ b/internal/fgcommand/gateway.go
@@ -70,6 +70,7 @@
 			LookupLifetime: s.Bounds.LookupLifetime, Grace: s.Bounds.Grace,
 			ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack,
 			RepeatRatio: s.Bounds.RepeatRatio, RepeatExtra: s.Bounds.RepeatExtra, RepeatWindow: s.Bounds.RepeatWindow,
+			RateSlack: s.Bounds.RateSlack,
 		},
 		Feed: fgadapter.NewStore(s.StoreAddress), Codec: codec, Entry: codec.EncodeMember,
 		Dialect: fgadapter.Dialect{}, Logger: newLogger(w),
--- /dev/null
+++ b/internal/fggateway/exchange.go
@@ -0,0 +1,211 @@
+package fggateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgquota"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
+	"github.com/filbertgap/filbertgap/internal/transport/fggossip"
+)
+
+const (
+	// exchangeEvery is how often a gateway tells the others its state. Rates are
+	// exceeded by at most what is asked for in this time.
+	exchangeEvery = 200 * time.Millisecond
+	// exchangeMembers is the number of gateways up to which this interval holds;
+	// with more it grows, so that the work of each stays the same.
+	exchangeMembers = 10
+	// lostAfter is how long a gateway may be silent before look-ups leave it out.
+	lostAfter = 1200 * time.Millisecond
+	// behindAfter is how long this gateway may lag behind a peer's copy of the
+	// store before it fetches that copy.
+	behindAfter = 400 * time.Millisecond
+)
+
+// peers is what this gateway heard from the others.
+type peers struct {
+	mu     sync.Mutex
+	heard  map[string]peerState
+	first  time.Time
+	behind time.Time
+	source string
+}
+
+type peerState struct {
+	incarnation uint64
+	at          time.Time
+	leaving     bool
+}
+
+// exchange tells the other gateways this one's state until the context ends.
+func (g *Gateway) exchange(ctx context.Context, s *fggossip.Socket) error {
+	last := time.Now()
+	for sequence := uint64(1); ; sequence++ {
+		wait := time.NewTimer(g.exchangeInterval())
+		select {
+		case <-ctx.Done():
+			wait.Stop()
+			return ctx.Err()
+		case <-wait.C:
+		}
+		g.tell(s, sequence, time.Since(last))
+		last = time.Now()
+		g.catchUp(ctx)
+	}
+}
+
+func (g *Gateway) exchangeInterval() time.Duration {
+	n := 1
+	if v := g.mirror.View(); v != nil {
+		n = len(v.Members())
+	}
+	return exchangeEvery * time.Duration(max(n, exchangeMembers)) / exchangeMembers
+}
+
+// tell sends this gateway's state to the others.
+func (g *Gateway) tell(s *fggossip.Socket, sequence uint64, elapsed time.Duration) {
+	state := &fgwire.GatewayState{
+		Vm: g.settings.Self.VM, Incarnation: g.settings.Self.Incarnation, Sequence: sequence,
+		StoreRevision: g.mirror.Revision(), StoreAgeMs: g.mirror.Age().Milliseconds(), Leaving: g.leaving.Load(),
+	}
+	for _, u := range g.meter.Tick(elapsed) {
+		state.Workspaces = append(state.Workspaces, &fgwire.WorkspaceUse{
+			Workspace: u.Workspace, Admitted: u.Admitted, Demand: uint32(10 * u.Demand),
+		})
+	}
+	if err := s.Send(state, g.peerAddresses()); err != nil {
+		g.logger.V(1).Info("state not sent to every gateway", "error", err.Error())
+	}
+}
+
+// peerAddresses returns the addresses of the other registered gateways.
+func (g *Gateway) peerAddresses() []*net.UDPAddr {
+	v := g.mirror.View()
+	if v == nil {
+		return nil
+	}
+	var all []*net.UDPAddr
+	for _, m := range v.Members() {
+		if m.VM == g.settings.Self.VM {
+			continue
+		}
+		if a, err := net.ResolveUDPAddr("udp4", m.PeerAddress); err == nil {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
+// hear takes in another gateway's state.
+func (g *Gateway) hear(s *fgwire.GatewayState) {
+	uses := make([]fgquota.Use, len(s.GetWorkspaces()))
+	for i, u := range s.GetWorkspaces() {
+		uses[i] = fgquota.Use{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted(), Demand: float64(u.GetDemand()) / 10}
+	}
+	g.meter.Hear(s.GetVm(), s.GetIncarnation(), s.GetSequence(), uses)
+	now := time.Now()
+	p := &g.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.heard == nil {
+		p.heard = map[string]peerState{}
+		p.first = now
+	}
+	if old, ok := p.heard[s.GetVm()]; !ok || old.incarnation != s.GetIncarnation() || old.leaving != s.GetLeaving() {
+		g.logger.Info("gateway heard", "vm", s.GetVm(), "incarnation", s.GetIncarnation(), "leaving", s.GetLeaving())
+	}
+	p.heard[s.GetVm()] = peerState{incarnation: s.GetIncarnation(), at: now, leaving: s.GetLeaving()}
+	switch {
+	case s.GetStoreRevision() <= g.mirror.Revision():
+		if p.source == s.GetVm() {
+			p.behind = time.Time{}
+		}
+	case p.behind.IsZero():
+		p.behind, p.source = now, s.GetVm()
+	}
+}
+
+// present reports whether look-ups may name a gateway: it was heard of lately
+// and is not leaving. While nobody is heard, this gateway is the one cut off,
+// and names all that are registered.
+func (g *Gateway) present(vm string) bool {
+	if vm == g.settings.Self.VM {
+		return !g.leaving.Load()
+	}
+	p := &g.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lost := lostAfter * time.Duration(max(1, g.exchangeInterval()/exchangeEvery))
+	anyone := false
+	for _, s := range p.heard {
+		anyone = anyone || time.Since(s.at) < lost
+	}
+	s, ok := p.heard[vm]
+	if !anyone {
+		return !s.leaving
+	}
+	if !ok {
+		return time.Since(p.first) < lost
+	}
+	return !s.leaving && time.Since(s.at) < lost
+}
+
+// catchUp fetches a peer's copy of the store when the store turns this gateway
+// away while others follow it.
+func (g *Gateway) catchUp(ctx context.Context) {
+	p := &g.peers
+	p.mu.Lock()
+	due := !p.behind.IsZero() && time.Since(p.behind) > behindAfter
+	source := p.source
+	if due {
+		p.behind = time.Time{}
+	}
+	p.mu.Unlock()
+	v := g.mirror.View()
+	if !due || v == nil {
+		return
+	}
+	for _, m := range v.Members() {
+		if m.VM == source {
+			g.fetch(ctx, m.PeerAddress, source)
+		}
+	}
+}
+
+func (g *Gateway) fetch(ctx context.Context, address, source string) {
+	before := g.mirror.Revision()
+	a, err := fggossip.Fetch(ctx, address, before)
+	if err != nil {
+		g.logger.Info("copy of the store not fetched", "from", source, "error", err.Error())
+		return
+	}
+	if a.GetRevision() <= before {
+		return
+	}
+	values := make([]fgstore.Value, len(a.GetEntries()))
+	for i, e := range a.GetEntries() {
+		values[i] = fgstore.Value{Key: e.GetKey(), Data: e.GetValue(), Revision: e.GetRevision()}
+	}
+	g.mirror.Replace(values, a.GetRevision())
+	g.logger.Info("copy of the store fetched", "from", source, "revision", a.GetRevision(), "was", before, "storeAgeMs", g.mirror.Age().Milliseconds())
+}
+
+// storeService answers the calls of other gateways.
+type storeService struct{ gateway *Gateway }
+
+// FetchStore returns this gateway's copy of the store.
+func (s storeService) FetchStore(_ context.Context, r *fgwire.StoreRequest) (*fgwire.StoreAnswer, error) {
+	values, revision := s.gateway.mirror.Values()
+	a := &fgwire.StoreAnswer{Revision: revision}
+	if revision <= r.GetRevision() {
+		return a, nil
+	}
+	for _, v := range values {
+		a.Entries = append(a.Entries, &fgwire.StoreEntry{Key: v.Key, Value: v.Data, Revision: v.Revision})
+	}
+	return a, nil
+}
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -18,11 +18,13 @@
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmirror"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgquota"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/fglog"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
+	"github.com/filbertgap/filbertgap/internal/transport/fggossip"
 	"github.com/filbertgap/filbertgap/internal/transport/fgpool"
 )
 
@@ -58,6 +60,8 @@
 	RepeatRatio  float64
 	RepeatExtra  int
 	RepeatWindow time.Duration
+	// RateSlack is what a workspace may exceed its rate by in a window.
+	RateSlack int
 }
 
 // Options are a gateway's collaborators.
@@ -80,6 +84,8 @@
 	mirror   *fgmirror.Mirror
 	balancer *fgaffinity.Balancer
 	repeats  fgaffinity.Repeats
+	meter    *fgquota.Meter
+	peers    peers
 	pool     fgpool.Pool
 	logs     logs
 	leaving  atomic.Bool
@@ -104,6 +110,7 @@
 		dialect:  o.Dialect,
 		logger:   o.Logger,
 		logs:     logs{served: fglog.NewSampler(servedLines), failed: fglog.NewSampler(failedLines)},
+		meter:    fgquota.New(fgquota.Options{Slack: o.Settings.RateSlack}),
 		balancer: fgaffinity.New(fgaffinity.Options{
 			Region: o.Settings.Self.Region, AvailabilityZone: o.Settings.Self.AvailabilityZone, VM: o.Settings.Self.VM,
 			ColdOver: o.Settings.ColdOver, ColdSlack: o.Settings.ColdSlack,
@@ -118,6 +125,14 @@
 func (g *Gateway) update(v *fgsteer.View) {
 	g.balancer.Update(v)
 	g.repeats.SetMembers(len(v.Members()))
+	var vms []string
+	for _, m := range v.Members() {
+		vms = append(vms, m.VM)
+	}
+	g.meter.SetMembers(vms)
+	if p := v.Policy(); p != nil {
+		g.meter.SetPolicy(p)
+	}
 }
 
 // listener is one address that the gateway serves.
@@ -146,7 +161,11 @@
 		{"ready", g.settings.ReadyListen, g.newServer(g.readyHandler())},
 		{"lookup", g.settings.LookupListen, g.newServer(g.lookupHandler())},
 	}
-	ends := make(chan error, len(listeners)+3)
+	socket, err := fggossip.Listen(g.settings.PeerListen)
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	ends := make(chan error, len(listeners)+5)
 	for _, l := range listeners {
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -154,6 +173,9 @@
 		}
 		go func() { ends <- partEnd(l.name, l.server.Serve(socket)) }()
 	}
+	go func() { ends <- partEnd("exchange", g.exchange(background, socket)) }()
+	go func() { ends <- partEnd("peers", socket.Receive(background, g.hear)) }()
+	go func() { ends <- partEnd("peer calls", socket.Serve(background, storeService{g})) }()
 	go func() { ends <- partEnd("mirror", g.mirror.Run(background)) }()
 	announced := make(chan error, 1)
 	go func() { announced <- g.mirror.Announce(announcing, key, entry) }()
--- a/internal/fggateway/lookup.go
+++ b/internal/fggateway/lookup.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -43,11 +42,11 @@
 // none. A route that is bound to regions so never enters at a foreign one while
 // the caller's own has a gateway.
 func (g *Gateway) addresses(v *fgsteer.View, l fgmessage.Lookup) []string {
-	members := slices.DeleteFunc(slices.Clone(v.Members()), func(m fgsteer.MemberSpec) bool {
-		return m.VM == g.settings.Self.VM && g.leaving.Load()
-	})
 	var near, all []string
-	for _, m := range members {
+	for _, m := range v.Members() {
+		if !g.present(m.VM) {
+			continue
+		}
 		all = append(all, m.CallerAddress)
 		if m.Region == l.Region {
 			near = append(near, m.CallerAddress)
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -32,6 +33,8 @@
 	// mayHaveRun means that some upstream may have run the request.
 	mayHaveRun bool
 	sends      int
+	// metered means that a token of the workspace was spent.
+	metered bool
 }
 
 // refusal is an answer of the gateway's own.
@@ -84,7 +87,24 @@
 		return no
 	}
 	q.header = forwardedHeader(r.Header)
-	return nil
+	return g.meterRequest(q)
+}
+
+// meterRequest counts a request against its workspace's rate.
+func (g *Gateway) meterRequest(q *request) *refusal {
+	if q.workspace == nil {
+		return nil
+	}
+	d := g.meter.Admit(q.workspace.Name)
+	if d.Allowed {
+		q.metered = true
+		return nil
+	}
+	return &refusal{
+		status:     http.StatusTooManyRequests,
+		reason:     fmt.Sprintf("the workspace is above its rate (tokens %.1f, allowance %.1f, share %.2f)", d.Tokens, d.Allowance, d.Share),
+		retryAfter: d.RetryAfter,
+	}
 }
 
 // readBody reads the caller's body, which is needed whole to send it again to
@@ -150,6 +170,9 @@
 
 // refuse answers a request that no upstream answered.
 func (g *Gateway) refuse(w http.ResponseWriter, q *request, no *refusal) {
+	if q.metered && !q.mayHaveRun {
+		g.meter.GiveBack(q.workspace.Name)
+	}
 	h := w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if no.retryAfter > 0 {
