Keep removals after an outage and cold upstreams within their bounds

All are now kept until 2 s after the return, and a peer's copy says whether its reader recovers.

VMs of the last 10 s count, and a new process sends nothing to cold upstreams for 1.5 s.

Ruled out for 1: the watch; its event came within 150 ms.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -1,7 +1,6 @@
 package fgaffinity
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -24,6 +23,12 @@
 	coldWindow = 1200 * time.Millisecond
 	// coldPart is the part of the bound that is used.
 	coldPart = 0.8
+	// coldStart is how long a new process sends nothing to cold upstreams: the one
+	// before it may just have done so, and the list of VMs may not be whole.
+	coldStart = 1500 * time.Millisecond
+	// memberMemory is how long a VM that is not registered any more counts as one
+	// that may still send: its look-up answers are used for some seconds.
+	memberMemory = 10 * time.Second
 )
 
 // Sentinel errors of Choose.
@@ -55,23 +60,28 @@
 type state struct {
 	view   *fgsteer.View
 	groups map[string]*group
-	// members are the names of the VMs, in order.
+	// members are the VMs that may send requests.
 	members []string
 }
 
 // Balancer chooses upstreams.
 type Balancer struct {
 	options Options
+	// epoch lies an hour before the start, so that the time 0 is long past.
 	epoch   time.Time
+	started time.Time
 	state   atomic.Pointer[state]
 
 	mu        sync.Mutex
 	upstreams map[string]*Upstream
+	// seen is when each VM was last registered.
+	seen map[string]time.Time
 }
 
 // New returns a balancer without upstreams.
 func New(o Options) *Balancer {
-	b := &Balancer{options: o, epoch: time.Now().Add(-time.Hour), upstreams: map[string]*Upstream{}}
+	now := time.Now()
+	b := &Balancer{options: o, epoch: now.Add(-time.Hour), started: now, upstreams: map[string]*Upstream{}, seen: map[string]time.Time{}}
 	b.state.Store(&state{})
 	return b
 }
@@ -81,8 +91,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := &state{view: v, groups: map[string]*group{}}
+	now := time.Now()
 	for _, m := range v.Members() {
-		s.members = append(s.members, m.VM)
+		b.seen[m.VM] = now
+	}
+	for vm, at := range b.seen {
+		if now.Sub(at) > memberMemory {
+			delete(b.seen, vm)
+			continue
+		}
+		s.members = append(s.members, vm)
 	}
 	known := make(map[string]*Upstream, len(b.upstreams))
 	for name, all := range v.Groups() {
@@ -122,12 +140,32 @@
 	Room float64
 }
 
-// candidate is an upstream with its rank for one request.
+// candidate is an upstream with its rank for one request; more is better.
 type candidate struct {
 	upstream *Upstream
 	score    float64
 }
 
+// candidates are the best upstreams for a request, best first.
+type candidates struct {
+	all [choices]candidate
+	n   int
+}
+
+// add keeps an upstream if it is among the best.
+func (c *candidates) add(u *Upstream, score float64) {
+	at := c.n
+	for at > 0 && c.all[at-1].score < score {
+		at--
+	}
+	if at == len(c.all) {
+		return
+	}
+	c.n = min(c.n+1, len(c.all))
+	copy(c.all[at+1:c.n], c.all[at:])
+	c.all[at] = candidate{upstream: u, score: score}
+}
+
 // Choose returns the upstream for a request and counts the request there; Done
 // must be called once with its result.
 func (b *Balancer) Choose(c Choice) (*Upstream, error) {
@@ -136,18 +174,19 @@
 	if g == nil {
 		return nil, ErrNoUpstream
 	}
-	now := time.Now()
-	var buffer [64]candidate
-	ranked := b.rank(s, g, c, now, buffer[:0])
-	if len(ranked) == 0 {
+	at := time.Now()
+	now := int64(at.Sub(b.epoch))
+	// Upstreams that fail or cannot be reached are left out while others remain.
+	best := b.rank(s, g, c, now, true)
+	if best.n == 0 {
+		best = b.rank(s, g, c, now, false)
+	}
+	if best.n == 0 {
 		return nil, ErrNoUpstream
 	}
-	for _, one := range order(ranked, c.Object != "", int64(now.Sub(b.epoch))) {
+	for _, one := range best.all[:best.n] {
 		u := one.upstream
-		if u.use(int64(now.Sub(b.epoch))) >= c.Room {
-			continue
-		}
-		if u.cold(now) && !u.takeCold(now, b.coldShare(s, g, u)) {
+		if u.use(now) >= c.Room || u.cold(at, now) && (at.Sub(b.started) < coldStart || !u.takeCold(at, b.coldShare(s, g, u))) {
 			continue
 		}
 		u.inFlight.Add(1)
@@ -156,32 +195,25 @@
 	return nil, ErrFull
 }
 
-// rank returns the upstreams that may take a request, best first by rendezvous
-// hashing: each VM finds the same order, and an upstream that comes or goes
-// moves only its own objects. Upstreams that rest or fail are left out while
-// others remain.
-func (b *Balancer) rank(s *state, g *group, c Choice, now time.Time, ranked []candidate) []candidate {
+// rank returns the upstreams that a request may go to. Those for an object are
+// found by rendezvous hashing: each VM finds the same ones, and an upstream that
+// comes or goes moves only its own objects. Others are ranked by their load.
+func (b *Balancer) rank(s *state, g *group, c Choice, now int64, avoid bool) candidates {
+	var best candidates
 	object := xxhash.Sum64String(c.Object)
-	for _, strict := range []bool{true, false} {
-		for _, u := range g.upstreams {
-			spec := u.Spec()
-			if spec.Draining || s.view.Drained(spec.AvailabilityZone) || slices.Contains(c.Tried, u) {
-				continue
-			}
-			if len(c.Regions) > 0 && !slices.Contains(c.Regions, spec.Region) {
-				continue
-			}
-			if strict && (u.resting(now) || u.failing(now)) {
-				continue
-			}
-			ranked = append(ranked, candidate{upstream: u, score: rendezvous(object, u.hash, spec.Slots)})
+	for _, u := range g.upstreams {
+		spec := u.Spec()
+		if spec.Draining || s.view.Drained(spec.AvailabilityZone) || avoid && u.avoided(now) ||
+			len(c.Regions) > 0 && !slices.Contains(c.Regions, spec.Region) || slices.Contains(c.Tried, u) {
+			continue
 		}
-		if len(ranked) > 0 {
-			break
+		if c.Object == "" {
+			best.add(u, -u.use(now))
+		} else {
+			best.add(u, rendezvous(object, u.hash, spec.Slots))
 		}
 	}
-	slices.SortFunc(ranked, func(x, y candidate) int { return cmp.Compare(y.score, x.score) })
-	return ranked
+	return best
 }
 
 // rendezvous returns an upstream's weighted score for an object.
@@ -201,18 +233,6 @@
 	return h ^ h>>33
 }
 
-// order returns the upstreams to try, best first: those that the object may lie
-// on, or the least loaded ones.
-func order(ranked []candidate, sticky bool, now int64) []candidate {
-	if sticky {
-		return ranked[:min(choices, len(ranked))]
-	}
-	slices.SortStableFunc(ranked, func(x, y candidate) int {
-		return cmp.Compare(x.upstream.use(now), y.upstream.use(now))
-	})
-	return ranked
-}
-
 // coldShare returns how many requests of a window this VM may send to a cold
 // upstream. The bound counts all VMs, so it is divided between them; where it
 // is smaller than their number, the VMs with the lowest hashes have one each.
@@ -238,7 +258,12 @@
 // Done ends a request at an upstream.
 func (b *Balancer) Done(u *Upstream, r Result) {
 	u.inFlight.Add(-1)
-	u.observe(r, time.Now())
+	u.observe(r, int64(time.Since(b.epoch)))
+}
+
+// Chill records that an upstream says that it is cold for a while.
+func (b *Balancer) Chill(u *Upstream, d time.Duration) {
+	u.coldUntil.Store(int64(time.Since(b.epoch) + d))
 }
 
 // Load takes in an upstream's own account of the requests it has.
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -23,8 +23,8 @@
 	// failureShare is the share of failed requests above which an upstream is
 	// passed over while another one is free.
 	failureShare = 0.3
-	// failureForget is how long a share of failures counts without new requests.
-	failureForget = 3 * time.Second
+	// failureForget is how long such an upstream is passed over.
+	failureForget = time.Second
 )
 
 // Result is how a request ended at an upstream.
@@ -57,14 +57,14 @@
 	others   atomic.Int64
 	loadTime atomic.Int64
 
+	// avoidUntil is when the upstream may be chosen again while others are left.
+	avoidUntil atomic.Int64
+	coldUntil  atomic.Int64
+
 	mu        sync.Mutex
 	failures  float64
-	failureAt time.Time
 	rest      time.Duration
-	restUntil time.Time
-	latency   float64
 	coldSends []time.Time
-	coldUntil time.Time
 }
 
 // Spec returns what the upstream says about itself.
@@ -93,54 +93,33 @@
 }
 
 // observe takes in how a request ended.
-func (u *Upstream) observe(r Result, now time.Time) {
+func (u *Upstream) observe(r Result, now int64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	fault := 0.0
+	fault := 1.0
 	switch r {
-	case Unreached, Lost, Replaced:
-		u.rest = min(max(restFirst, 2*u.rest), restMost)
-		if r == Lost {
-			// One broken answer says little about an upstream that serves others.
-			u.rest = min(u.rest, restFirst)
-		}
-		if r != Lost || u.failures > failureShare {
-			u.restUntil = now.Add(u.rest)
-		}
-		fault = 1
-	case Failed, Shed:
-		fault = 1
 	case Answered:
-		u.rest = 0
+		u.rest, fault = 0, 0
 	case Left:
 		return
+	case Unreached, Replaced:
+		u.rest = min(max(restFirst, 2*u.rest), restMost)
+		u.avoid(now, u.rest)
+	case Failed, Shed, Lost:
 	}
 	u.failures += failureWeight * (fault - u.failures)
-	u.failureAt = now
+	if u.failures > failureShare {
+		u.avoid(now, failureForget)
+	}
 }
 
-// resting reports whether the upstream is left alone.
-func (u *Upstream) resting(now time.Time) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return now.Before(u.restUntil)
+// avoid keeps requests away from the upstream while others are left.
+func (u *Upstream) avoid(now int64, d time.Duration) {
+	u.avoidUntil.Store(max(u.avoidUntil.Load(), now+int64(d)))
 }
 
-// failing reports whether the upstream fails a large part of its requests.
-func (u *Upstream) failing(now time.Time) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.failures > failureShare && now.Sub(u.failureAt) < failureForget
-}
-
-// Chill records that the upstream says that it is cold.
-func (u *Upstream) Chill(until time.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if until.After(u.coldUntil) {
-		u.coldUntil = until
-	}
-}
+// avoided reports whether the upstream is left alone while others remain.
+func (u *Upstream) avoided(now int64) bool { return now < u.avoidUntil.Load() }
 
 // takeCold spends one of the requests that a cold upstream may get from this
 // VM in a second.
@@ -162,11 +141,6 @@
 }
 
 // cold reports whether the upstream tolerates few requests only.
-func (u *Upstream) cold(now time.Time) bool {
-	if now.Before(u.Spec().ColdUntil) {
-		return true
-	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return now.Before(u.coldUntil)
+func (u *Upstream) cold(at time.Time, now int64) bool {
+	return at.Before(u.Spec().ColdUntil) || now < u.coldUntil.Load()
 }
--- a/internal/coordination/fgmirror/announce.go
+++ b/internal/coordination/fgmirror/announce.go
@@ -41,7 +41,7 @@
 			m.options.Logger.Info("lease ended, announcing again", "key", key, "lease", lease.ID)
 			held, wait = false, 0
 		default:
-			m.Failed()
+			m.Failed(err)
 			m.options.Logger.Info("announcement not renewed", "key", key, "error", err.Error())
 			wait = retryWait
 		}
--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -29,9 +29,9 @@
 	batchWait = 150 * time.Millisecond
 	// retryWait separates calls to a store that does not answer.
 	retryWait = 250 * time.Millisecond
-	// lapseHold keeps entries that vanished in an outage until their owners have
-	// had time to write them again: about two seconds after the store's return.
-	lapseHold = 2500 * time.Millisecond
+	// lapseHold is how long after the store's return entries that vanished are
+	// kept. Their owners write them again in about two seconds.
+	lapseHold = 2 * time.Second
 )
 
 // Codec reads the entries of the store.
@@ -59,9 +59,9 @@
 // entry is a stored value with what it was read as.
 type entry struct {
 	value fgstore.Value
-	// gone is when the entry was seen to be deleted; it is kept for a while if
+	// goneAt is when the entry ceases to be kept although it was deleted, since
 	// that may be the work of an outage.
-	gone     time.Time
+	goneAt   time.Time
 	policy   *fgsteer.Policy
 	upstream *fgsteer.UpstreamSpec
 	member   *fgsteer.MemberSpec
@@ -72,17 +72,19 @@
 type Mirror struct {
 	options Options
 	view    atomic.Pointer[fgsteer.View]
-	// answered and failed are when the store last answered and last failed to,
-	// as times since the epoch.
+	// answered is when the store last answered, as a time since the epoch.
 	epoch    time.Time
 	answered atomic.Int64
-	failed   atomic.Int64
 
-	mu       sync.Mutex
-	entries  map[string]*entry
-	policy   *fgsteer.Policy
-	revision uint64
-	expiry   *time.Timer
+	mu sync.Mutex
+	// away is set while the store does not answer; holdUntil is when entries that
+	// vanished in the last outage have had time to come back.
+	away      bool
+	holdUntil time.Time
+	entries   map[string]*entry
+	policy    *fgsteer.Policy
+	revision  uint64
+	expiry    *time.Timer
 }
 
 // New returns an empty mirror.
@@ -94,41 +96,49 @@
 func (m *Mirror) View() *fgsteer.View { return m.view.Load() }
 
 // Reached records that the store has answered a call.
-func (m *Mirror) Reached() { m.answered.Store(int64(time.Since(m.epoch))) }
+func (m *Mirror) Reached() {
+	m.answered.Store(int64(time.Since(m.epoch)))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.away {
+		m.away = false
+		m.holdUntil = time.Now().Add(lapseHold)
+		m.options.Logger.Info("store regained", "revision", m.revision)
+	}
+}
 
 // Failed records that the store did not answer a call.
-func (m *Mirror) Failed() { m.failed.Store(int64(time.Since(m.epoch))) }
+func (m *Mirror) Failed(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.away {
+		m.away = true
+		m.options.Logger.Info("store lost", "error", err.Error(), "revision", m.revision)
+	}
+}
 
 // Age returns the time since the store last answered.
 func (m *Mirror) Age() time.Duration { return time.Since(m.epoch) - time.Duration(m.answered.Load()) }
 
-// recovering reports whether the store failed a short while ago.
-func (m *Mirror) recovering() bool {
-	return m.failed.Load() != 0 && time.Since(m.epoch)-time.Duration(m.failed.Load()) < lapseHold
+// Recovering reports whether entries that vanished in an outage may come back.
+func (m *Mirror) Recovering() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Now().Before(m.holdUntil)
 }
 
 // Run follows the store until the context ends.
 func (m *Mirror) Run(ctx context.Context) error {
-	loaded, reachable := false, true
+	loaded := false
 	for ctx.Err() == nil {
 		err := m.step(ctx, &loaded)
 		switch {
-		case err == nil:
-			if !reachable {
-				m.options.Logger.Info("store regained", "revision", m.Revision())
-			}
-			reachable = true
-			m.Reached()
-		case ctx.Err() != nil:
+		case err == nil, ctx.Err() != nil:
 		case errors.Is(err, fgstore.ErrHistoryLost):
 			m.options.Logger.Info("store has dropped its history, reading all entries", "revision", m.Revision())
 			loaded = false
 		default:
-			m.Failed()
-			if reachable {
-				m.options.Logger.Info("store lost", "error", err.Error(), "revision", m.Revision())
-			}
-			reachable = false
+			m.Failed(err)
 			_ = fgtimer.Wait(ctx, retryWait+rand.N(retryWait))
 		}
 	}
@@ -142,7 +152,8 @@
 		if err != nil {
 			return err
 		}
-		m.Replace(values, revision)
+		m.Reached()
+		m.Replace(values, revision, m.Recovering())
 		*loaded = true
 		return nil
 	}
@@ -150,6 +161,7 @@
 	if err != nil {
 		return err
 	}
+	m.Reached()
 	if len(events) == 0 {
 		m.advance(revision)
 		return nil
@@ -177,7 +189,7 @@
 	defer m.mu.Unlock()
 	values := make([]fgstore.Value, 0, len(m.entries))
 	for _, e := range m.entries {
-		if e.gone.IsZero() {
+		if e.goneAt.IsZero() {
 			values = append(values, e.value)
 		}
 	}
@@ -185,8 +197,9 @@
 }
 
 // Replace takes over all entries of the store at a revision, read from it or
-// told by a peer. An older state than the known one changes nothing.
-func (m *Mirror) Replace(values []fgstore.Value, revision uint64) {
+// told by a peer. An older state than the known one changes nothing. Recovering
+// tells that the store was away from the one that read it.
+func (m *Mirror) Replace(values []fgstore.Value, revision uint64, recovering bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if revision < m.revision {
@@ -200,7 +213,7 @@
 	for key, e := range m.entries {
 		// An entry written after the revision is newer than the list.
 		if !present[key] && e.value.Revision <= revision {
-			m.remove(key, e)
+			m.remove(key, e, recovering)
 		}
 	}
 	m.revision = revision
@@ -210,13 +223,14 @@
 func (m *Mirror) apply(events []fgstore.Event, revision uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	recovering := time.Now().Before(m.holdUntil)
 	for _, v := range events {
 		e := m.entries[v.Key]
 		switch {
 		case e != nil && e.value.Revision > v.Revision:
 		case v.Deleted:
 			if e != nil {
-				m.remove(v.Key, e)
+				m.remove(v.Key, e, recovering)
 			}
 		default:
 			m.put(v.Value)
@@ -229,19 +243,21 @@
 // put stores a value, unless the known one is as new.
 func (m *Mirror) put(v fgstore.Value) {
 	if e := m.entries[v.Key]; e != nil && e.value.Revision >= v.Revision {
-		e.gone = time.Time{}
+		e.goneAt = time.Time{}
 		return
 	}
 	m.entries[v.Key] = m.read(v)
 }
 
-// remove deletes an entry, or marks it while its owner may still write it again.
-func (m *Mirror) remove(key string, e *entry) {
-	owned := e.upstream != nil || e.member != nil
-	if owned && m.recovering() {
-		if e.gone.IsZero() {
-			e.gone = time.Now()
-			m.options.Logger.Info("entry vanished in an outage and is kept for now", "key", key, "hold", lapseHold.String())
+// remove deletes an entry, or keeps it while its owner may still write it again.
+func (m *Mirror) remove(key string, e *entry, recovering bool) {
+	if recovering && (e.upstream != nil || e.member != nil) {
+		if e.goneAt.IsZero() {
+			e.goneAt = m.holdUntil
+			if now := time.Now(); e.goneAt.Before(now) {
+				e.goneAt = now.Add(lapseHold)
+			}
+			m.options.Logger.Info("entry vanished in an outage and is kept for now", "key", key, "until", e.goneAt)
 		}
 		return
 	}
@@ -292,8 +308,8 @@
 	var next time.Duration
 	for _, key := range slices.Sorted(maps.Keys(m.entries)) {
 		e := m.entries[key]
-		if !e.gone.IsZero() {
-			left := lapseHold - now.Sub(e.gone)
+		if !e.goneAt.IsZero() {
+			left := e.goneAt.Sub(now)
 			if left <= 0 {
 				delete(m.entries, key)
 				m.options.Logger.Info("entry did not come back after the outage", "key", key)
--- a/internal/coordination/fgquota/meter.go
+++ b/internal/coordination/fgquota/meter.go
@@ -259,7 +259,10 @@
 func (m *Meter) renew(l *limit) {
 	l.share = max(l.demand, leastDemand) / m.totalDemand(l)
 	l.allowance = l.share * l.tokens
-	if l.tokens >= max(1, float64(m.members)/4) {
+	switch n := float64(m.members); {
+	case l.tokens >= n/2:
+		l.allowance = max(2, l.allowance)
+	case l.tokens >= max(1, n/4):
 		l.allowance = max(1, l.allowance)
 	}
 }
--- /dev/null
+++ b/internal/coordination/fgquota/meter_test.go
@@ -0,0 +1,231 @@
+package fgquota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
+)
+
+const (
+	testSlack  = 20
+	testWindow = 5 * time.Second
+	testOver   = 0.1
+	// tellEvery is how often the gateways of the simulated fleet report.
+	tellEvery = 200 * time.Millisecond
+	step      = 10 * time.Millisecond
+)
+
+// fleet is a number of meters that report to each other with a delay.
+type fleet struct {
+	meters  []*Meter
+	names   []string
+	delay   time.Duration
+	silent  map[int]bool
+	mail    []letter
+	told    time.Time
+	counter uint64
+}
+
+type letter struct {
+	due      time.Time
+	from, to int
+	sequence uint64
+	uses     []Use
+}
+
+func newFleet(n int, delay time.Duration, w ...fgsteer.WorkspaceSpec) *fleet {
+	f := &fleet{delay: delay, silent: map[int]bool{}, told: time.Now()}
+	p := fgsteer.NewPolicy(fgsteer.PolicySpec{Workspaces: w})
+	for i := range n {
+		f.names = append(f.names, fmt.Sprintf("vm-%d", i))
+	}
+	for range n {
+		m := New(Options{Slack: testSlack})
+		m.SetMembers(f.names)
+		m.SetPolicy(p)
+		f.meters = append(f.meters, m)
+	}
+	return f
+}
+
+// advance lets a step of time pass.
+func (f *fleet) advance() {
+	time.Sleep(step)
+	now := time.Now()
+	if now.Sub(f.told) >= tellEvery {
+		f.counter++
+		for i, m := range f.meters {
+			uses := m.Tick(now.Sub(f.told))
+			for j := range f.meters {
+				if i != j && !f.silent[i] && !f.silent[j] {
+					f.mail = append(f.mail, letter{now.Add(f.delay), i, j, f.counter, uses})
+				}
+			}
+		}
+		f.told = now
+	}
+	for len(f.mail) > 0 && !now.Before(f.mail[0].due) {
+		l := f.mail[0]
+		f.mail = f.mail[1:]
+		f.meters[l.to].Hear(f.names[l.from], uint64(l.from)+1, l.sequence, l.uses)
+	}
+}
+
+// Guards against a workspace above its rate that gets more than the fleet may
+// give it, in any window, however its callers are spread and move.
+func TestHotWorkspaceStaysWithinItsRate(t *testing.T) {
+	tests := []struct {
+		name        string
+		vms         int
+		rate, burst float64
+		perSecond   float64
+		delay       time.Duration
+		// pick returns the VM of an arrival.
+		pick func(r *rand.Rand, at time.Duration, n int) int
+		// silent is the VM whose reports are lost after a while, or -1.
+		silent int
+	}{
+		{"large, even", 7, 132, 132, 990, 55 * time.Millisecond, func(r *rand.Rand, _ time.Duration, n int) int { return r.IntN(n) }, -1},
+		{"large, moving every two seconds", 7, 132, 132, 990, 55 * time.Millisecond, func(_ *rand.Rand, at time.Duration, n int) int { return int(at/(2*time.Second)) % n }, -1},
+		{"small, even", 7, 10, 10, 75, 55 * time.Millisecond, func(r *rand.Rand, _ time.Duration, n int) int { return r.IntN(n) }, -1},
+		{"many VMs", 28, 20, 20, 300, 35 * time.Millisecond, func(r *rand.Rand, _ time.Duration, n int) int { return r.IntN(n) }, -1},
+		{"one VM cut off", 7, 132, 132, 990, 55 * time.Millisecond, func(r *rand.Rand, _ time.Duration, n int) int { return r.IntN(n) }, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const seed = 1
+				r := rand.New(rand.NewPCG(seed, seed))
+				f := newFleet(tt.vms, tt.delay, fgsteer.WorkspaceSpec{Name: "w", Rate: tt.rate, Burst: tt.burst})
+				began := time.Now()
+				var admitted []time.Time
+				for time.Since(began) < 20*time.Second {
+					if tt.silent >= 0 && time.Since(began) > 8*time.Second {
+						f.silent[tt.silent] = true
+					}
+					if time.Since(began) > 3*time.Second {
+						for range poisson(r, tt.perSecond*step.Seconds()) {
+							if f.meters[tt.pick(r, time.Since(began), tt.vms)].Admit("w").Allowed {
+								admitted = append(admitted, time.Now())
+							}
+						}
+					}
+					f.advance()
+				}
+				allowed := (tt.rate*testWindow.Seconds()+tt.burst)*(1+testOver) + testSlack
+				if got := busiest(admitted, testWindow); float64(got) > allowed {
+					t.Errorf("seed %d: %d admitted in a window, allowed %.0f", seed, got, allowed)
+				}
+				if least := 0.8 * tt.rate * 17; float64(len(admitted)) < least {
+					t.Errorf("seed %d: %d admitted in 17 s, want at least %.0f of a workspace that asks for more than its rate", seed, len(admitted), least)
+				}
+			})
+		})
+	}
+}
+
+// Guards against refusals within a workspace's rate.
+func TestWorkspaceWithinItsRateIsNotRefused(t *testing.T) {
+	tests := []struct {
+		name        string
+		vms         int
+		rate, burst float64
+	}{
+		{"large", 7, 132, 132},
+		{"small", 7, 10, 10},
+		{"tiny on many VMs", 28, 5, 5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const seed = 2
+				r := rand.New(rand.NewPCG(seed, seed))
+				f := newFleet(tt.vms, 55*time.Millisecond, fgsteer.WorkspaceSpec{Name: "w", Rate: tt.rate, Burst: tt.burst})
+				began, asked, refused := time.Now(), 0, 0
+				for time.Since(began) < 60*time.Second {
+					// Traffic begins some seconds after the VMs, at five eighths of the rate.
+					if time.Since(began) > 6*time.Second {
+						for range poisson(r, tt.rate/1.6*step.Seconds()) {
+							asked++
+							if !f.meters[r.IntN(tt.vms)].Admit("w").Allowed {
+								refused++
+							}
+						}
+					}
+					f.advance()
+				}
+				if refused*100 > asked {
+					t.Errorf("seed %d: %d of %d refused, want at most 1 in 100", seed, refused, asked)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a restarted VM that spends a burst a second time.
+func TestNewMeterHasNoTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 0, fgsteer.WorkspaceSpec{Name: "w", Rate: 10, Burst: 100})
+		if f.meters[0].Admit("w").Allowed {
+			t.Error("a meter that has just started admits a request")
+		}
+		time.Sleep(time.Second)
+		f.meters[0].Tick(time.Second)
+		if !f.meters[0].Admit("w").Allowed {
+			t.Error("no request is admitted after a second")
+		}
+	})
+}
+
+// Guards against a token that is lost with a request that did not run.
+func TestGiveBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 0, fgsteer.WorkspaceSpec{Name: "w", Rate: 1, Burst: 1})
+		time.Sleep(1100 * time.Millisecond)
+		m := f.meters[0]
+		m.Tick(time.Second)
+		if !m.Admit("w").Allowed || m.Admit("w").Allowed {
+			t.Fatal("want exactly one request admitted")
+		}
+		m.GiveBack("w")
+		if !m.Admit("w").Allowed {
+			t.Error("the token was not given back")
+		}
+	})
+}
+
+// Guards against a workspace without a rate that is refused.
+func TestNoRate(t *testing.T) {
+	m := New(Options{})
+	m.SetPolicy(fgsteer.NewPolicy(fgsteer.PolicySpec{Workspaces: []fgsteer.WorkspaceSpec{{Name: "w"}}}))
+	for range 1000 {
+		if !m.Admit("w").Allowed {
+			t.Fatal("refused")
+		}
+	}
+}
+
+// poisson returns a number of arrivals with a mean below one or a few.
+func poisson(r *rand.Rand, mean float64) int {
+	n := 0
+	for sum := r.ExpFloat64(); sum < mean; sum += r.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// busiest returns the largest number of times within one window.
+func busiest(times []time.Time, window time.Duration) int {
+	most, from := 0, 0
+	for to := range times {
+		for times[to].Sub(times[from]) >= window {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
--- a/internal/fgcommand/gateway.go
+++ b/internal/fgcommand/gateway.go
@@ -1,6 +1,7 @@
 package fgcommand
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"runtime/debug"
@@ -55,9 +56,13 @@
 		debug.SetMemoryLimit(int64(memoryLimitPart * float64(s.MemoryBytes)))
 	}
 	w := fglog.NewWriter(os.Stdout)
+	logging, stop := context.WithCancel(context.WithoutCancel(cmd.Context()))
 	ended := make(chan error, 1)
-	go func() { ended <- w.Run(cmd.Context()) }()
-	defer func() { _ = w.Flush() }()
+	go func() { ended <- w.Run(logging) }()
+	defer func() {
+		stop()
+		<-ended
+	}()
 	codec := fgadapter.Codec{Regions: s.Regions}
 	g := fggateway.New(fggateway.Options{
 		Settings: fggateway.Settings{
@@ -75,5 +80,8 @@
 		Feed: fgadapter.NewStore(s.StoreAddress), Codec: codec, Entry: codec.EncodeMember,
 		Dialect: fgadapter.Dialect{}, Logger: newLogger(w),
 	})
+	if err := g.Listen(); err != nil {
+		return err
+	}
 	return g.Run(cmd.Context())
 }
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -190,7 +190,7 @@
 	for i, e := range a.GetEntries() {
 		values[i] = fgstore.Value{Key: e.GetKey(), Data: e.GetValue(), Revision: e.GetRevision()}
 	}
-	g.mirror.Replace(values, a.GetRevision())
+	g.mirror.Replace(values, a.GetRevision(), a.GetRecovering())
 	g.logger.Info("copy of the store fetched", "from", source, "revision", a.GetRevision(), "was", before, "storeAgeMs", g.mirror.Age().Milliseconds())
 }
 
@@ -200,7 +200,7 @@
 // FetchStore returns this gateway's copy of the store.
 func (s storeService) FetchStore(_ context.Context, r *fgwire.StoreRequest) (*fgwire.StoreAnswer, error) {
 	values, revision := s.gateway.mirror.Values()
-	a := &fgwire.StoreAnswer{Revision: revision}
+	a := &fgwire.StoreAnswer{Revision: revision, Recovering: s.gateway.mirror.Recovering()}
 	if revision <= r.GetRevision() {
 		return a, nil
 	}
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -88,6 +88,7 @@
 	peers    peers
 	pool     fgpool.Pool
 	logs     logs
+	sockets  sockets
 	leaving  atomic.Bool
 }
 
@@ -135,13 +136,39 @@
 	}
 }
 
-// listener is one address that the gateway serves.
-type listener struct {
-	name, address string
-	server        *http.Server
+// sockets are the gateway's open addresses.
+type sockets struct {
+	callers, ready, lookup net.Listener
+	peers                  *fggossip.Socket
 }
 
-// Run serves until the context ends, then stops gracefully.
+// Listen opens the gateway's addresses.
+func (g *Gateway) Listen() error {
+	for _, one := range []struct {
+		name, address string
+		socket        *net.Listener
+	}{
+		{"callers", g.settings.CallerListen, &g.sockets.callers},
+		{"ready", g.settings.ReadyListen, &g.sockets.ready},
+		{"look-ups", g.settings.LookupListen, &g.sockets.lookup},
+	} {
+		l, err := net.Listen("tcp", one.address)
+		if err != nil {
+			return fmt.Errorf("%s: %w", one.name, err)
+		}
+		*one.socket = l
+	}
+	var err error
+	if g.sockets.peers, err = fggossip.Listen(g.settings.PeerListen); err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	g.settings.Self.CallerAddress = g.sockets.callers.Addr().String()
+	g.settings.Self.PeerAddress = g.sockets.peers.Address()
+	return nil
+}
+
+// Run serves until the context ends, then stops gracefully. Listen must have
+// succeeded before.
 func (g *Gateway) Run(ctx context.Context) error {
 	self := g.settings.Self
 	key, entry, err := g.options.Entry(self)
@@ -149,37 +176,29 @@
 		return err
 	}
 	g.logger.Info("gateway starts", "vm", self.VM, "incarnation", self.Incarnation, "region", self.Region,
-		"availabilityZone", self.AvailabilityZone, "caller", g.settings.CallerListen, "lookup", g.settings.LookupListen)
+		"availabilityZone", self.AvailabilityZone, "caller", self.CallerAddress, "peer", self.PeerAddress)
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	announcing, withdraw := context.WithCancel(background)
 	defer withdraw()
 
-	callers := g.newServer(http.HandlerFunc(g.serveCaller))
-	listeners := []listener{
-		{"callers", g.settings.CallerListen, callers},
-		{"ready", g.settings.ReadyListen, g.newServer(g.readyHandler())},
-		{"lookup", g.settings.LookupListen, g.newServer(g.lookupHandler())},
+	callers, ready, lookup := g.newServer(http.HandlerFunc(g.serveCaller)), g.newServer(g.readyHandler()), g.newServer(g.lookupHandler())
+	parts := []part{
+		{"callers", func(context.Context) error { return callers.Serve(g.sockets.callers) }},
+		{"ready", func(context.Context) error { return ready.Serve(g.sockets.ready) }},
+		{"look-ups", func(context.Context) error { return lookup.Serve(g.sockets.lookup) }},
+		{"exchange", func(ctx context.Context) error { return g.exchange(ctx, g.sockets.peers) }},
+		{"peers", func(ctx context.Context) error { return g.sockets.peers.Receive(ctx, g.hear) }},
+		{"peer calls", func(ctx context.Context) error { return g.sockets.peers.Serve(ctx, storeService{g}) }},
+		{"mirror", g.mirror.Run},
+		{"pool", g.pool.Run},
 	}
-	socket, err := fggossip.Listen(g.settings.PeerListen)
-	if err != nil {
-		return fmt.Errorf("peers: %w", err)
+	ends := make(chan error, len(parts))
+	for _, p := range parts {
+		go func() { ends <- p.end(p.run(background)) }()
 	}
-	ends := make(chan error, len(listeners)+5)
-	for _, l := range listeners {
-		socket, err := net.Listen("tcp", l.address)
-		if err != nil {
-			return fmt.Errorf("%s: %w", l.name, err)
-		}
-		go func() { ends <- partEnd(l.name, l.server.Serve(socket)) }()
-	}
-	go func() { ends <- partEnd("exchange", g.exchange(background, socket)) }()
-	go func() { ends <- partEnd("peers", socket.Receive(background, g.hear)) }()
-	go func() { ends <- partEnd("peer calls", socket.Serve(background, storeService{g})) }()
-	go func() { ends <- partEnd("mirror", g.mirror.Run(background)) }()
 	announced := make(chan error, 1)
 	go func() { announced <- g.mirror.Announce(announcing, key, entry) }()
-	go func() { ends <- partEnd("pool", g.pool.Run(background)) }()
 
 	select {
 	case err := <-ends:
@@ -188,20 +207,28 @@
 	}
 	g.stop(callers, withdraw)
 	cancel()
+	_, _ = ready.Close(), lookup.Close()
 	<-announced
-	for _, l := range listeners[1:] {
-		_ = l.server.Close()
+	for range parts {
+		<-ends
 	}
 	g.logger.Info("gateway stopped", "vm", self.VM)
 	return nil
 }
 
-// partEnd describes why a part of the gateway ended.
-func partEnd(name string, err error) error {
+// part is a task of the gateway that runs until its context ends or, for a
+// server, until it is closed.
+type part struct {
+	name string
+	run  func(context.Context) error
+}
+
+// end describes why a part ended.
+func (p part) end(err error) error {
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
 		return nil
 	}
-	return fmt.Errorf("%s ended: %w", name, err)
+	return fmt.Errorf("%s ended: %w", p.name, err)
 }
 
 func (g *Gateway) newServer(h http.Handler) *http.Server {
--- a/internal/transport/fggossip/socket.go
+++ b/internal/transport/fggossip/socket.go
@@ -31,21 +31,24 @@
 
 // Listen opens a gateway's peer address for both kinds of messages.
 func Listen(address string) (*Socket, error) {
-	a, err := net.ResolveUDPAddr("udp4", address)
+	tcp, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	udp, err := net.ListenUDP("udp4", a)
+	a, err := net.ResolveUDPAddr("udp4", tcp.Addr().String())
 	if err != nil {
-		return nil, err
+		return nil, errors.Join(err, tcp.Close())
 	}
-	tcp, err := net.Listen("tcp", address)
+	udp, err := net.ListenUDP("udp4", a)
 	if err != nil {
-		return nil, errors.Join(err, udp.Close())
+		return nil, errors.Join(err, tcp.Close())
 	}
 	return &Socket{udp: udp, tcp: tcp}, nil
 }
 
+// Address returns the address that peers use.
+func (s *Socket) Address() string { return s.tcp.Addr().String() }
+
 // Send sends a state to each address. A datagram may be lost; the first failure
 // to send one is returned after all were tried.
 func (s *Socket) Send(state *fgwire.GatewayState, addresses []*net.UDPAddr) error {
@@ -91,7 +94,10 @@
 	if err := fgwire.DRPCRegisterGateway(mux, service); err != nil {
 		return err
 	}
-	return drpcserver.New(mux).Serve(ctx, s.tcp)
+	if err := drpcserver.New(mux).Serve(ctx, s.tcp); err != nil {
+		return err
+	}
+	return ctx.Err()
 }
 
 // Fetch asks a peer for its copy of the store, if it is newer than a revision.
