--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -39,15 +39,18 @@
 	ErrFull = merry.Sentinel("the upstreams for the request are full")
 )
 
-// Options are the bounds that a Balancer keeps.
+// Options tell a Balancer where it runs.
 type Options struct {
 	Region           string
 	AvailabilityZone string
 	VM               string
-	// ColdOver and ColdSlack bound the requests of a second at a cold upstream:
-	// its own rate times ColdOver, plus ColdSlack, over all VMs.
-	ColdOver  float64
-	ColdSlack int
+}
+
+// coldBounds bound the requests of a second at a cold upstream: its own rate
+// times over, plus slack, from all VMs together.
+type coldBounds struct {
+	over  float64
+	slack int
 }
 
 // group is a group's upstreams in one view.
@@ -71,6 +74,7 @@
 	epoch   time.Time
 	started time.Time
 	state   atomic.Pointer[state]
+	bounds  atomic.Pointer[coldBounds]
 
 	mu        sync.Mutex
 	upstreams map[string]*Upstream
@@ -83,9 +87,16 @@
 	now := time.Now()
 	b := &Balancer{options: o, epoch: now.Add(-time.Hour), started: now, upstreams: map[string]*Upstream{}, seen: map[string]time.Time{}}
 	b.state.Store(&state{})
+	b.bounds.Store(&coldBounds{})
 	return b
 }
 
+// SetColdBounds sets what a cold upstream may get in a second from all VMs: its
+// own rate times over, plus slack.
+func (b *Balancer) SetColdBounds(over float64, slack int) {
+	b.bounds.Store(&coldBounds{over: over, slack: slack})
+}
+
 // Update takes over a view.
 func (b *Balancer) Update(v *fgsteer.View) {
 	b.mu.Lock()
@@ -237,7 +248,8 @@
 // upstream. The bound counts all VMs, so it is divided between them; where it
 // is smaller than their number, the VMs with the lowest hashes have one each.
 func (b *Balancer) coldShare(s *state, g *group, u *Upstream) int {
-	total := int(coldPart * (g.spec.ColdRate*b.options.ColdOver + float64(b.options.ColdSlack)))
+	bounds := b.bounds.Load()
+	total := int(coldPart * (g.spec.ColdRate*bounds.over + float64(bounds.slack)))
 	n := max(1, len(s.members))
 	if total >= n {
 		return total / n
--- a/internal/coordination/fgaffinity/repeats.go
+++ b/internal/coordination/fgaffinity/repeats.go
@@ -12,13 +12,12 @@
 // Repeats bounds the requests that are sent to a further upstream, for each
 // group, to this VM's part of a bound that counts all VMs.
 type Repeats struct {
-	// Ratio is the number of repeats for each request. Extra more are allowed
-	// in a window by all VMs together.
-	Ratio  float64
-	Extra  int
-	Window time.Duration
-
-	mu      sync.Mutex
+	mu sync.Mutex
+	// ratio is the number of repeats for each request. extra more are allowed in
+	// a window by all VMs together.
+	ratio   float64
+	extra   int
+	window  time.Duration
 	members int
 	groups  map[string]*repeatBucket
 }
@@ -28,6 +27,14 @@
 	last   time.Time
 }
 
+// SetBounds sets the fleet's bound: a number of repeats for each request, and
+// some more in each window.
+func (r *Repeats) SetBounds(ratio float64, extra int, window time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ratio, r.extra, r.window = ratio, extra, window
+}
+
 // SetMembers tells how many VMs share the bound.
 func (r *Repeats) SetMembers(n int) {
 	r.mu.Lock()
@@ -40,7 +47,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.bucket(group)
-	b.tokens = min(b.tokens+repeatPart*r.Ratio, r.most())
+	b.tokens = min(b.tokens+repeatPart*r.ratio, r.most())
 }
 
 // Take spends a repeat, if there is one.
@@ -58,7 +65,7 @@
 // most is how many repeats may be saved up: what may come at once at the end of
 // a window without them.
 func (r *Repeats) most() float64 {
-	return max(1, repeatPart*float64(r.Extra)/float64(max(1, r.members)))
+	return max(1, repeatPart*float64(r.extra)/float64(max(1, r.members)))
 }
 
 // bucket returns a group's bucket with the repeats that time has brought.
@@ -72,8 +79,8 @@
 		b = &repeatBucket{last: now}
 		r.groups[group] = b
 	}
-	if r.Window > 0 {
-		b.tokens = min(b.tokens+r.most()*now.Sub(b.last).Seconds()/r.Window.Seconds(), max(b.tokens, r.most()))
+	if r.window > 0 {
+		b.tokens = min(b.tokens+r.most()*now.Sub(b.last).Seconds()/r.window.Seconds(), max(b.tokens, r.most()))
 	}
 	b.last = now
 	return b
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -48,6 +48,15 @@
 	Left
 )
 
+// String returns the result's name in metrics.
+func (r Result) String() string {
+	names := [...]string{Answered: "answered", Failed: "failed", Shed: "shed", Unreached: "unreached", Lost: "lost", Replaced: "replaced", Left: "left"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
+
 // Upstream is what this VM knows about one upstream. It outlives views.
 type Upstream struct {
 	hash     uint64
--- a/internal/coordination/fgquota/meter.go
+++ b/internal/coordination/fgquota/meter.go
@@ -32,18 +32,11 @@
 	slackPart = 0.5
 )
 
-// Options are the bounds that the users hold rates to.
-type Options struct {
-	// Slack is the number of requests that a workspace may exceed its rate by in
-	// a window.
-	Slack int
-}
-
 // Meter counts the requests of workspaces. It is safe for concurrent use.
 type Meter struct {
-	options Options
-
-	mu     sync.Mutex
+	mu sync.Mutex
+	// slack is what a workspace may exceed its rate by in a window.
+	slack  int
 	limits map[string]*limit
 	// byHash finds the limits that peers report on.
 	byHash  map[uint32]*limit
@@ -90,8 +83,16 @@
 }
 
 // New returns a meter that knows no rates.
-func New(o Options) *Meter {
-	return &Meter{options: o, limits: map[string]*limit{}, byHash: map[uint32]*limit{}, peers: map[string]*peer{}, members: 1}
+func New() *Meter {
+	return &Meter{limits: map[string]*limit{}, byHash: map[uint32]*limit{}, peers: map[string]*peer{}, members: 1}
+}
+
+// SetSlack tells how many requests a workspace may exceed its rate by in a
+// window. It is used from the next policy on.
+func (m *Meter) SetSlack(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.slack = n
 }
 
 // Hash returns the name under which workspaces stand in reports.
@@ -117,7 +118,7 @@
 		if l == nil {
 			l = &limit{name: w.Name, refilled: now, share: 1 / float64(max(1, m.members))}
 		}
-		l.rate, l.burst = w.Rate, w.Burst+slackPart*float64(m.options.Slack)
+		l.rate, l.burst = w.Rate, w.Burst+slackPart*float64(m.slack)
 		l.tokens = min(l.tokens, l.burst)
 		limits[w.Name] = l
 		m.byHash[Hash(w.Name)] = l
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -53,7 +53,7 @@
 	var no *refusal
 	for {
 		if r.Context().Err() != nil {
-			g.logEnd(q, statusCallerLeft, "the caller left", "")
+			g.end(q, statusCallerLeft, codeCallerLeft, "the caller left", "")
 			panic(http.ErrAbortHandler)
 		}
 		if time.Until(q.deadline) < leastLeft {
@@ -63,7 +63,7 @@
 		u, err := g.balancer.Choose(fgaffinity.Choice{Group: q.group, Object: q.object(), Regions: q.regions(), Tried: q.tried, Room: room})
 		if err != nil {
 			if no == nil {
-				no = q.full(err.Error())
+				no = q.full(codeNoRoom, err.Error())
 			}
 			break
 		}
@@ -85,7 +85,7 @@
 		}
 	}
 	if r.Context().Err() != nil {
-		g.logEnd(q, statusCallerLeft, "the caller left", "")
+		g.end(q, statusCallerLeft, codeCallerLeft, "the caller left", "")
 		panic(http.ErrAbortHandler)
 	}
 	g.refuse(w, q, no)
@@ -131,6 +131,12 @@
 	return one, g.examine(q, one), q.examined(one)
 }
 
+// done ends a request at an upstream.
+func (g *Gateway) done(u *fgaffinity.Upstream, group string, r fgaffinity.Result) {
+	g.balancer.Done(u, r)
+	g.metrics.SendEnded(group, r.String())
+}
+
 // unanswered counts a send that no answer came to.
 func (g *Gateway) unanswered(ctx context.Context, q *request, u *fgaffinity.Upstream, err error) fgaffinity.Result {
 	result := fgaffinity.Lost
@@ -144,7 +150,7 @@
 		q.sends++
 		q.mayHaveRun = true
 	}
-	g.balancer.Done(u, result)
+	g.done(u, q.group, result)
 	g.logger.V(0).Info("send failed", "attempt", q.AttemptID, "upstream", u.Spec().ID, "sent", q.mayHaveRun, "error", err.Error())
 	return result
 }
@@ -155,9 +161,9 @@
 	case ctx.Err() != nil:
 		return q.late()
 	case q.mayHaveRun:
-		return &refusal{status: http.StatusBadGateway, reason: "the connection to the upstream broke; the request may have run"}
+		return &refusal{status: http.StatusBadGateway, code: codeLost, reason: "the connection to the upstream broke; the request may have run"}
 	default:
-		return q.full("the upstream cannot be reached")
+		return q.full(codeUnreached, "the upstream cannot be reached")
 	}
 }
 
@@ -182,7 +188,7 @@
 	if result != fgaffinity.Answered {
 		a.Close(a.whole && result != fgaffinity.Lost, a.says.IdleFor)
 		a.whole = true
-		g.balancer.Done(a.upstream, result)
+		g.done(a.upstream, q.group, result)
 	}
 	return result
 }
@@ -192,9 +198,9 @@
 func (q *request) examined(a *answered) *refusal {
 	switch {
 	case a.says.NotRun:
-		return q.full("the upstream refused the request")
+		return q.full(codeShed, "the upstream refused the request")
 	case a.body == nil, a.StatusCode < 300 && !a.says.Signed:
-		return &refusal{status: http.StatusBadGateway, reason: "the upstream's answer is not whole"}
+		return &refusal{status: http.StatusBadGateway, code: codeNotWhole, reason: "the upstream's answer is not whole"}
 	default:
 		return nil
 	}
@@ -232,13 +238,13 @@
 	}
 	if !failed {
 		a.Close(err == nil, a.says.IdleFor)
-		g.balancer.Done(a.upstream, fgaffinity.Answered)
+		g.done(a.upstream, q.group, fgaffinity.Answered)
 	}
 	if err != nil {
-		g.logEnd(q, statusCallerLeft, "the answer was cut: "+err.Error(), a.upstream.Spec().ID)
+		g.end(q, statusCallerLeft, codeAnswerCut, "the answer was cut: "+err.Error(), a.upstream.Spec().ID)
 		panic(http.ErrAbortHandler)
 	}
-	g.logEnd(q, a.StatusCode, "answered", a.upstream.Spec().ID)
+	g.end(q, a.StatusCode, codeAnswered, "the upstream answered", a.upstream.Spec().ID)
 }
 
 // writeTimeout bounds how long a caller may take to receive an answer.
@@ -247,18 +253,18 @@
 // late returns the refusal of a request whose time has run out.
 func (q *request) late() *refusal {
 	if q.mayHaveRun {
-		return &refusal{status: http.StatusGatewayTimeout, reason: "no answer came in time; the request may have run"}
+		return &refusal{status: http.StatusGatewayTimeout, code: codeLate, reason: "no answer came in time; the request may have run"}
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: "the time ran out before the request was sent"}
+	return &refusal{status: http.StatusServiceUnavailable, code: codeLate, reason: "the time ran out before the request was sent"}
 }
 
 // full returns the refusal of a request that nobody ran, or that somebody may
 // have run before.
-func (q *request) full(reason string) *refusal {
+func (q *request) full(c code, reason string) *refusal {
 	if q.mayHaveRun {
-		return &refusal{status: http.StatusBadGateway, reason: reason + "; an earlier try may have run"}
+		return &refusal{status: http.StatusBadGateway, code: c, reason: reason + "; an earlier try may have run"}
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: fullRetryAfter + rand.N(fullRetryAfter)}
+	return &refusal{status: http.StatusServiceUnavailable, code: c, reason: reason, retryAfter: fullRetryAfter + rand.N(fullRetryAfter)}
 }
 
 // regions returns where a request may run: where both its route and its
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/filbertgap/filbertgap/internal/coordination/fgquota"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/fglog"
+	"github.com/filbertgap/filbertgap/internal/fgmetrics"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
@@ -45,15 +46,23 @@
 
 // Settings are what a gateway needs to know about its VM.
 type Settings struct {
-	Self           fgsteer.MemberSpec
-	CallerListen   string
-	ReadyListen    string
-	LookupListen   string
-	PeerListen     string
-	MetricsListen  string
+	Self          fgsteer.MemberSpec
+	CallerListen  string
+	ReadyListen   string
+	LookupListen  string
+	PeerListen    string
+	MetricsListen string
+	Bounds        Bounds
+}
+
+// Bounds are the figures that a gateway is held to. They may change while it
+// runs.
+type Bounds struct {
+	// LookupLifetime is the longest lifetime of a look-up answer that counts.
 	LookupLifetime time.Duration
 	// Grace is the time from the order to stop to the process's end.
-	Grace     time.Duration
+	Grace time.Duration
+	// ColdOver and ColdSlack bound the requests at cold upstreams.
 	ColdOver  float64
 	ColdSlack int
 	// RepeatRatio, RepeatExtra and RepeatWindow bound repeats over all VMs.
@@ -73,6 +82,8 @@
 	Entry   func(fgsteer.MemberSpec) (string, []byte, error)
 	Dialect fgmessage.Dialect
 	Logger  logr.Logger
+	// DroppedLines counts log lines that were dropped. Nil: none are.
+	DroppedLines func() int64
 }
 
 // Gateway is one gateway process.
@@ -85,10 +96,12 @@
 	balancer *fgaffinity.Balancer
 	repeats  fgaffinity.Repeats
 	meter    *fgquota.Meter
+	metrics  *fgmetrics.Gateway
 	peers    peers
 	pool     fgpool.Pool
 	logs     logs
 	sockets  sockets
+	bounds   atomic.Pointer[Bounds]
 	leaving  atomic.Bool
 }
 
@@ -111,17 +124,57 @@
 		dialect:  o.Dialect,
 		logger:   o.Logger,
 		logs:     logs{served: fglog.NewSampler(servedLines), failed: fglog.NewSampler(failedLines)},
-		meter:    fgquota.New(fgquota.Options{Slack: o.Settings.RateSlack}),
+		meter:    fgquota.New(),
 		balancer: fgaffinity.New(fgaffinity.Options{
 			Region: o.Settings.Self.Region, AvailabilityZone: o.Settings.Self.AvailabilityZone, VM: o.Settings.Self.VM,
-			ColdOver: o.Settings.ColdOver, ColdSlack: o.Settings.ColdSlack,
 		}),
 	}
-	g.repeats.Ratio, g.repeats.Extra, g.repeats.Window = o.Settings.RepeatRatio, o.Settings.RepeatExtra, o.Settings.RepeatWindow
+	g.SetBounds(o.Settings.Bounds)
 	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.update})
+	g.metrics = g.newMetrics()
 	return g
 }
 
+// newMetrics returns metrics that read the gateway's state when fetched.
+func (g *Gateway) newMetrics() *fgmetrics.Gateway {
+	dropped := g.options.DroppedLines
+	if dropped == nil {
+		dropped = func() int64 { return 0 }
+	}
+	return fgmetrics.NewGateway(fgmetrics.GatewayState{
+		StoreAge: g.mirror.Age, StoreRevision: g.mirror.Revision, Opened: g.pool.Opened, Reused: g.pool.Reused, DroppedLines: dropped,
+		PolicyVersion: func() int64 {
+			if v := g.mirror.View(); v != nil && v.Policy() != nil {
+				return v.Policy().Version()
+			}
+			return 0
+		},
+		Members: func() int {
+			if v := g.mirror.View(); v != nil {
+				return len(v.Members())
+			}
+			return 0
+		},
+		Upstreams: func() int {
+			n := 0
+			if v := g.mirror.View(); v != nil {
+				for _, all := range v.Groups() {
+					n += len(all)
+				}
+			}
+			return n
+		},
+	})
+}
+
+// SetBounds takes over changed bounds.
+func (g *Gateway) SetBounds(b Bounds) {
+	g.bounds.Store(&b)
+	g.balancer.SetColdBounds(b.ColdOver, b.ColdSlack)
+	g.repeats.SetBounds(b.RepeatRatio, b.RepeatExtra, b.RepeatWindow)
+	g.meter.SetSlack(b.RateSlack)
+}
+
 // update takes over a view.
 func (g *Gateway) update(v *fgsteer.View) {
 	g.balancer.Update(v)
@@ -139,6 +192,7 @@
 // sockets are the gateway's open addresses.
 type sockets struct {
 	callers, ready, lookup net.Listener
+	metrics                net.Listener
 	peers                  *fggossip.Socket
 }
 
@@ -151,6 +205,7 @@
 		{"callers", g.settings.CallerListen, &g.sockets.callers},
 		{"ready", g.settings.ReadyListen, &g.sockets.ready},
 		{"look-ups", g.settings.LookupListen, &g.sockets.lookup},
+		{"metrics", g.settings.MetricsListen, &g.sockets.metrics},
 	} {
 		l, err := net.Listen("tcp", one.address)
 		if err != nil {
@@ -183,7 +238,9 @@
 	defer withdraw()
 
 	callers, ready, lookup := g.newServer(http.HandlerFunc(g.serveCaller)), g.newServer(g.readyHandler()), g.newServer(g.lookupHandler())
+	metrics := g.newServer(g.metricsHandler())
 	parts := []part{
+		{"metrics", func(context.Context) error { return metrics.Serve(g.sockets.metrics) }},
 		{"callers", func(context.Context) error { return callers.Serve(g.sockets.callers) }},
 		{"ready", func(context.Context) error { return ready.Serve(g.sockets.ready) }},
 		{"look-ups", func(context.Context) error { return lookup.Serve(g.sockets.lookup) }},
@@ -207,7 +264,7 @@
 	}
 	g.stop(callers, withdraw)
 	cancel()
-	_, _ = ready.Close(), lookup.Close()
+	_, _, _ = ready.Close(), lookup.Close(), metrics.Close()
 	<-announced
 	for range parts {
 		<-ends
@@ -242,12 +299,12 @@
 // on serving callers that still hold an answer, and closes each connection with
 // its next answer.
 func (g *Gateway) stop(callers *http.Server, withdraw func()) {
-	began := time.Now()
-	g.logger.Info("gateway is leaving", "vm", g.settings.Self.VM, "grace", g.settings.Grace.String())
+	began, grace := time.Now(), g.bounds.Load().Grace
+	g.logger.Info("gateway is leaving", "vm", g.settings.Self.VM, "grace", grace.String())
 	g.leaving.Store(true)
 	withdraw()
-	_ = fgtimer.Wait(context.Background(), min(acceptFor, g.settings.Grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.Grace-stopMargin))
+	_ = fgtimer.Wait(context.Background(), min(acceptFor, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopMargin))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		g.logger.Info("requests still in flight at the end of the grace period", "error", err.Error())
@@ -261,6 +318,12 @@
 	return v != nil && v.Policy() != nil && !g.leaving.Load()
 }
 
+func (g *Gateway) metricsHandler() http.Handler {
+	r := httprouter.New()
+	r.Handler(http.MethodGet, "/metrics", g.metrics.Handler())
+	return r
+}
+
 func (g *Gateway) readyHandler() http.Handler {
 	r := httprouter.New()
 	method, path := g.dialect.Ready()
--- a/internal/fggateway/lookup.go
+++ b/internal/fggateway/lookup.go
@@ -29,7 +29,7 @@
 		}
 		answer := fgmessage.LookupAnswer{
 			Addresses: g.addresses(v, codec.Read(r)),
-			Lifetime:  min(lookupLifetime, g.settings.LookupLifetime),
+			Lifetime:  min(lookupLifetime, g.bounds.Load().LookupLifetime),
 		}
 		if err := codec.Write(w, answer); err != nil {
 			g.logger.Info("look-up answer not written", "error", err.Error())
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -37,9 +37,33 @@
 	metered bool
 }
 
+// code names the reason of a refusal in logs and metrics.
+type code string
+
+// The codes of refusals, and of requests that ended otherwise.
+const (
+	codeAnswered    code = "answered"
+	codeAnswerCut   code = "answer-cut"
+	codeCallerLeft  code = "caller-left"
+	codeNoPolicy    code = "no-policy"
+	codeBadTarget   code = "bad-target"
+	codeNoRoute     code = "no-route"
+	codeKeyUnknown  code = "key-unknown"
+	codeBodyLarge   code = "body-too-large"
+	codeBodyMissing code = "body-missing"
+	codeAboveRate   code = "above-rate"
+	codeNoRoom      code = "no-room"
+	codeUnreached   code = "upstream-unreached"
+	codeShed        code = "upstream-shed"
+	codeLost        code = "upstream-lost"
+	codeNotWhole    code = "answer-not-whole"
+	codeLate        code = "late"
+)
+
 // refusal is an answer of the gateway's own.
 type refusal struct {
 	status int
+	code   code
 	reason string
 	// retryAfter is told to the caller if it is positive.
 	retryAfter time.Duration
@@ -61,21 +85,21 @@
 // admit decides whether a request may run, and reads it whole.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, q *request) *refusal {
 	if q.view == nil || q.view.Policy() == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "no policy is known yet", retryAfter: startRetryAfter}
+		return &refusal{status: http.StatusServiceUnavailable, code: codeNoPolicy, reason: "no policy is known yet", retryAfter: startRetryAfter}
 	}
 	policy := q.view.Policy()
 	if !strings.HasPrefix(r.RequestURI, "/") {
-		return &refusal{status: http.StatusBadRequest, reason: "the request target is not a path"}
+		return &refusal{status: http.StatusBadRequest, code: codeBadTarget, reason: "the request target is not a path"}
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route, ok := policy.Route(hostname(r.Host), path)
 	if !ok {
-		return &refusal{status: http.StatusNotFound, reason: "no route matches"}
+		return &refusal{status: http.StatusNotFound, code: codeNoRoute, reason: "no route matches"}
 	}
 	q.route = route
 	if policy.KeyRequired() && !route.Open {
 		if q.workspace, ok = policy.WorkspaceOf(q.Key); !ok {
-			return &refusal{status: http.StatusUnauthorized, reason: "the key is unknown"}
+			return &refusal{status: http.StatusUnauthorized, code: codeKeyUnknown, reason: "the key is unknown"}
 		}
 	}
 	limit := route.Timeout
@@ -102,6 +126,7 @@
 	}
 	return &refusal{
 		status:     http.StatusTooManyRequests,
+		code:       codeAboveRate,
 		reason:     fmt.Sprintf("the workspace is above its rate (tokens %.1f, allowance %.1f, share %.2f)", d.Tokens, d.Allowance, d.Share),
 		retryAfter: d.RetryAfter,
 	}
@@ -121,9 +146,9 @@
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
+		return &refusal{status: http.StatusRequestEntityTooLarge, code: codeBodyLarge, reason: "the body is too large"}
 	case err != nil:
-		return &refusal{status: http.StatusRequestTimeout, reason: "the body did not arrive: " + err.Error()}
+		return &refusal{status: http.StatusRequestTimeout, code: codeBodyMissing, reason: "the body did not arrive: " + err.Error()}
 	}
 	q.body = body
 	return nil
@@ -182,11 +207,17 @@
 	if _, err := io.WriteString(w, no.reason+"\n"); err != nil {
 		g.logger.V(1).Info("refusal not written", "attempt", q.AttemptID, "error", err.Error())
 	}
-	g.logEnd(q, no.status, no.reason, "")
+	g.end(q, no.status, no.code, no.reason, "")
 }
 
-// logEnd writes the line about a request's end, within the bounds for lines.
-func (g *Gateway) logEnd(q *request, status int, reason, upstream string) {
+// end counts a request's end and writes its line, within the bounds for lines.
+func (g *Gateway) end(q *request, status int, c code, reason, upstream string) {
+	took := time.Since(q.began)
+	name := ""
+	if q.route != nil {
+		name = q.route.Name
+	}
+	g.metrics.RequestEnded(name, string(c), took)
 	sampler := g.logs.served
 	if status >= http.StatusBadRequest {
 		sampler = g.logs.failed
@@ -195,10 +226,7 @@
 	if !ok {
 		return
 	}
-	route, workspace, version, revision := "", "", int64(0), int64(0)
-	if q.route != nil {
-		route = q.route.Name
-	}
+	workspace, version, revision := "", int64(0), int64(0)
 	if q.workspace != nil {
 		workspace = q.workspace.Name
 	}
@@ -208,7 +236,7 @@
 			version = p.Version()
 		}
 	}
-	g.logger.Info("request ended", "attempt", q.AttemptID, "status", status, "reason", reason, "route", route,
-		"workspace", workspace, "group", q.group, "object", q.Object, "upstream", upstream, "sends", q.sends, "ms", time.Since(q.began).Milliseconds(),
+	g.logger.Info("request ended", "attempt", q.AttemptID, "status", status, "code", c, "reason", reason, "route", name,
+		"workspace", workspace, "group", q.group, "object", q.Object, "upstream", upstream, "sends", q.sends, "ms", took.Milliseconds(),
 		"policy", version, "revision", revision, "storeAgeMs", g.mirror.Age().Milliseconds(), "skippedLines", skipped)
 }
--- /dev/null
+++ b/internal/fgmetrics/gateway.go
@@ -0,0 +1,77 @@
+package fgmetrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Gateway holds the metrics of one gateway process.
+type Gateway struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	sends    *prometheus.CounterVec
+}
+
+// GatewayState are values that are read when the metrics are fetched.
+type GatewayState struct {
+	StoreAge      func() time.Duration
+	StoreRevision func() uint64
+	PolicyVersion func() int64
+	Members       func() int
+	Upstreams     func() int
+	Opened        func() int64
+	Reused        func() int64
+	DroppedLines  func() int64
+}
+
+// NewGateway returns metrics at zero.
+func NewGateway(s GatewayState) *Gateway {
+	m := &Gateway{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_requests_total",
+			Help: "Callers' requests by route and how they ended: answered, or the code of the gateway's own answer."}, []string{"route", "end"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "gateway_request_seconds",
+			Help: "Time from a request's arrival to the end of its answer, refusals included.", Buckets: latencyBuckets}, []string{"route"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_sends_total",
+			Help: "Requests handed to upstreams by group and how they ended."}, []string{"group", "result"}),
+	}
+	m.registry.MustRegister(m.requests, m.latency, m.sends,
+		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return s.StoreAge().Seconds() }),
+		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(s.StoreRevision()) }),
+		gauge("gateway_policy_version", "Version of the policy in force.", func() float64 { return float64(s.PolicyVersion()) }),
+		gauge("gateway_members", "Registered gateways.", func() float64 { return float64(s.Members()) }),
+		gauge("gateway_upstreams", "Upstreams that may get requests.", func() float64 { return float64(s.Upstreams()) }),
+		counter("gateway_connections_opened_total", "Connections opened to upstreams.", s.Opened),
+		counter("gateway_connections_reused_total", "Requests sent over a kept connection.", s.Reused),
+		counter("gateway_log_lines_dropped_total", "Log lines dropped because the output was too slow.", s.DroppedLines),
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+func gauge(name, help string, value func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value)
+}
+
+func counter(name, help string, value func() int64) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help},
+		func() float64 { return float64(value()) })
+}
+
+// Handler serves the metrics.
+func (m *Gateway) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Registry: m.registry})
+}
+
+// RequestEnded counts a request. The route is empty when none was found.
+func (m *Gateway) RequestEnded(route, end string, took time.Duration) {
+	m.requests.WithLabelValues(route, end).Inc()
+	m.latency.WithLabelValues(route).Observe(took.Seconds())
+}
+
+// SendEnded counts a request at an upstream.
+func (m *Gateway) SendEnded(group, result string) { m.sends.WithLabelValues(group, result).Inc() }
