Prefer upstreams of the VM's region by the way to others

Upstreams of the VM's own region weigh 1 + 14 x distance / objective times as much; the distance is measured at start.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -17,6 +17,15 @@
 	// choices is how many upstreams an object may lie on before the least
 	// loaded one of the group is taken.
 	choices = 3
+	// nearWeight says how much more an upstream of the VM's own region weighs for
+	// an object, for each objective's worth of time that the way to another region
+	// and back costs. An object has callers in one region only, so that keeping it
+	// there costs no warmth; but a small region has no room for all of its own.
+	nearWeight = 14
+	// nearMost bounds that weight.
+	nearMost = 20
+	// distanceStep rounds distances, so that all VMs of a region rank alike.
+	distanceStep = 10 * time.Millisecond
 	// coldWindow is the time in which a cold upstream's requests are counted. It
 	// is longer than the second that the bound names, since requests are late on
 	// the way by different times.
@@ -75,6 +84,8 @@
 	started time.Time
 	state   atomic.Pointer[state]
 	bounds  atomic.Pointer[coldBounds]
+	// distance is the time to another region and back.
+	distance atomic.Int64
 
 	mu        sync.Mutex
 	upstreams map[string]*Upstream
@@ -145,6 +156,8 @@
 	Object string
 	// Regions lists where the request may run. Empty means anywhere.
 	Regions []string
+	// Objective is the latency within which an answer is of full use.
+	Objective time.Duration
 	// Tried lists the upstreams that already had the request.
 	Tried []*Upstream
 	// Room is the load per slot above which an upstream is full for the request.
@@ -211,22 +224,36 @@
 // comes or goes moves only its own objects. Others are ranked by their load.
 func (b *Balancer) rank(s *state, g *group, c Choice, now int64, avoid bool) candidates {
 	var best candidates
-	object := xxhash.Sum64String(c.Object)
+	object, near := xxhash.Sum64String(c.Object), b.near(c.Objective)
 	for _, u := range g.upstreams {
 		spec := u.Spec()
 		if spec.Draining || s.view.Drained(spec.AvailabilityZone) || avoid && u.avoided(now) ||
 			len(c.Regions) > 0 && !slices.Contains(c.Regions, spec.Region) || slices.Contains(c.Tried, u) {
 			continue
 		}
-		if c.Object == "" {
+		switch {
+		case c.Object == "":
 			best.add(u, -u.use(now))
-		} else {
+		case spec.Region == b.options.Region:
+			best.add(u, near*rendezvous(object, u.hash, spec.Slots))
+		default:
 			best.add(u, rendezvous(object, u.hash, spec.Slots))
 		}
 	}
 	return best
 }
 
+// near returns the weight of an upstream of the VM's own region.
+func (b *Balancer) near(objective time.Duration) float64 {
+	if objective <= 0 {
+		return 1
+	}
+	return min(1+nearWeight*float64(b.distance.Load())/float64(objective), nearMost)
+}
+
+// SetDistance tells how long the way to another region and back takes.
+func (b *Balancer) SetDistance(d time.Duration) { b.distance.Store(int64(d.Round(distanceStep))) }
+
 // rendezvous returns an upstream's weighted score for an object.
 func rendezvous(object, upstream uint64, slots int) float64 {
 	h := mix(object ^ upstream)
--- a/internal/coordination/fgaffinity/balancer_test.go
+++ b/internal/coordination/fgaffinity/balancer_test.go
@@ -371,6 +371,64 @@
 	})
 }
 
+// Replays two sites of equal load in regions of unequal size: where the way to
+// another region costs much of the objective, most objects stay, and no region
+// gets much more than its upstreams can serve.
+func TestNearUpstreamsWeighMore(t *testing.T) {
+	sizes := []struct {
+		region string
+		count  int
+	}{{"small", 2}, {"middle", 8}, {"large", 10}}
+	fleet := func(s *fgsteer.ViewSpec) {
+		for _, z := range sizes {
+			for i := range z.count {
+				s.Upstreams = append(s.Upstreams, fgsteer.UpstreamSpec{
+					ID: fmt.Sprint(z.region, i), Group: "g", Address: "10.0.0.1:80", Slots: 6, Region: z.region, AvailabilityZone: z.region,
+				})
+			}
+		}
+	}
+	tests := []struct {
+		name      string
+		distance  time.Duration
+		objective time.Duration
+		// leastNear is the part of all objects that stay in their region, busiest
+		// the load of the most loaded region for each of its slots, 1 being even.
+		leastNear, busiest float64
+	}{
+		{"far", 110 * time.Millisecond, 300 * time.Millisecond, 0.65, 2.2},
+		{"near", 70 * time.Millisecond, 500 * time.Millisecond, 0.5, 1.6},
+		{"no distance", 0, 300 * time.Millisecond, 0.3, 1.3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			const objects = 3000
+			load, stayed := map[string]float64{}, 0
+			for _, z := range sizes {
+				b := New(Options{VM: "vm", Region: z.region})
+				b.Update(view(fleet))
+				b.SetDistance(tt.distance)
+				for i := range objects {
+					u := choose(t, b, Choice{Object: fmt.Sprint(z.region, i), Objective: tt.objective})
+					load[u.Spec().Region]++
+					if u.Spec().Region == z.region {
+						stayed++
+					}
+					b.Done(u, Answered)
+				}
+			}
+			if part := float64(stayed) / (3 * objects); part < tt.leastNear {
+				t.Errorf("%.2f of the objects stayed in their region, want at least %.2f", part, tt.leastNear)
+			}
+			for _, z := range sizes {
+				if use := load[z.region] / (3 * objects) / (float64(z.count) / 20); use > tt.busiest {
+					t.Errorf("region %s has %.2f of an even load, want at most %.2f", z.region, use, tt.busiest)
+				}
+			}
+		})
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{20, 44, 1200} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -60,7 +60,7 @@
 			no = q.late()
 			break
 		}
-		u, err := g.balancer.Choose(fgaffinity.Choice{Group: q.group, Object: q.object(), Regions: q.regions(), Tried: q.tried, Room: room})
+		u, err := g.balancer.Choose(fgaffinity.Choice{Group: q.group, Object: q.object(), Regions: q.regions(), Objective: q.route.Objective, Tried: q.tried, Room: room})
 		if err != nil {
 			if no == nil {
 				no = q.full(codeNoRoom, err.Error())
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -249,6 +249,7 @@
 		{"peer calls", func(ctx context.Context) error { return g.sockets.peers.Serve(ctx, storeService{g}) }},
 		{"mirror", g.mirror.Run},
 		{"pool", g.pool.Run},
+		{"distances", g.measureDistances},
 	}
 	ends := make(chan error, len(parts))
 	for _, p := range parts {
--- a/internal/transport/fggossip/socket.go
+++ b/internal/transport/fggossip/socket.go
@@ -113,3 +113,17 @@
 	defer func() { _ = rpc.Close() }()
 	return fgwire.NewDRPCGatewayClient(rpc).FetchStore(ctx, &fgwire.StoreRequest{Revision: revision})
 }
+
+// Measure returns the time to a peer and back, as a connection takes to open.
+func Measure(ctx context.Context, address string) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	began := time.Now()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return 0, err
+	}
+	took := time.Since(began)
+	return took, c.Close()
+}
