Leave slow and silent upstreams, wait for the policy at a start

Cause: an upstream that goes silent behind kept connections held requests until their deadlines; new connections to a dark one took 500 ms each; callers of a gateway that had just started were sent away for 300 ms although the policy came after 240.

Three overdue answers in a row (1.5 objectives and 3 usual times) make an upstream slow; it rests for 0.5 to 4 s, and its idempotent requests go to another one within the bound of repeats. Connections may take 100 ms and twice the way to another region. Requests wait up to 400 ms for a policy after a start.

Ruled out: leaving an upstream at the first overdue answer.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -66,6 +66,7 @@
 type group struct {
 	spec      fgsteer.GroupSpec
 	upstreams []*Upstream
+	usual     *usualTime
 }
 
 // state is what requests read. It is immutable.
@@ -91,12 +92,14 @@
 	upstreams map[string]*Upstream
 	// seen is when each VM was last registered.
 	seen map[string]time.Time
+	// usual outlives views, by group.
+	usual map[string]*usualTime
 }
 
 // New returns a balancer without upstreams.
 func New(o Options) *Balancer {
 	now := time.Now()
-	b := &Balancer{options: o, epoch: now.Add(-time.Hour), started: now, upstreams: map[string]*Upstream{}, seen: map[string]time.Time{}}
+	b := &Balancer{options: o, epoch: now.Add(-time.Hour), started: now, upstreams: map[string]*Upstream{}, seen: map[string]time.Time{}, usual: map[string]*usualTime{}}
 	b.state.Store(&state{})
 	b.bounds.Store(&coldBounds{})
 	return b
@@ -126,7 +129,10 @@
 	}
 	known := make(map[string]*Upstream, len(b.upstreams))
 	for name, all := range v.Groups() {
-		g := &group{}
+		if b.usual[name] == nil {
+			b.usual[name] = &usualTime{}
+		}
+		g := &group{usual: b.usual[name]}
 		if p := v.Policy(); p != nil {
 			if spec, ok := p.Group(name); ok {
 				g.spec = *spec
--- a/internal/coordination/fgaffinity/balancer_test.go
+++ b/internal/coordination/fgaffinity/balancer_test.go
@@ -317,6 +317,34 @@
 	})
 }
 
+// Replays an upstream that is many times slower than the others, and one cold run
+// at an upstream that is well: the first loses its requests for a while, the
+// second keeps its object.
+func TestSlowUpstreamIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balancer("vm-0", view(upstreams(4)))
+		first := choose(t, b, Choice{Object: "o"})
+		b.Done(first, Answered)
+		b.Overdue(first)
+		b.InTime(first, time.Second)
+		for i := range slowAfter {
+			u := choose(t, b, Choice{Object: "o"})
+			if u != first {
+				t.Fatalf("the object moved after %d overdue answers", i)
+			}
+			b.Overdue(u)
+			b.Done(u, Silent)
+		}
+		if u := choose(t, b, Choice{Object: "o"}); u == first {
+			t.Error("a slow upstream was chosen")
+		}
+		time.Sleep(restMost)
+		if u := choose(t, b, Choice{Object: "o"}); u != first {
+			t.Error("the upstream does not get its object back")
+		}
+	})
+}
+
 // Guards against requests that are refused although an upstream is left: when
 // all rest, one is tried.
 func TestAllResting(t *testing.T) {
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -23,6 +23,9 @@
 	// failureShare is the share of failed requests above which an upstream is
 	// passed over while another one is free.
 	failureShare = 0.3
+	// slowAfter is the number of overdue answers in a row that make an upstream
+	// slow.
+	slowAfter = 3
 	// failureForget is how long such an upstream is passed over.
 	failureForget = time.Second
 )
@@ -44,13 +47,15 @@
 	Lost
 	// Replaced means that another program has the upstream's address.
 	Replaced
-	// Left means that the caller left or its time ran out.
+	// Left means that the caller left.
 	Left
+	// Silent means that no answer came in time.
+	Silent
 )
 
 // String returns the result's name in metrics.
 func (r Result) String() string {
-	names := [...]string{Answered: "answered", Failed: "failed", Shed: "shed", Unreached: "unreached", Lost: "lost", Replaced: "replaced", Left: "left"}
+	names := [...]string{Answered: "answered", Failed: "failed", Shed: "shed", Unreached: "unreached", Lost: "lost", Replaced: "replaced", Left: "left", Silent: "silent"}
 	if int(r) < len(names) {
 		return names[r]
 	}
@@ -70,9 +75,13 @@
 	avoidUntil atomic.Int64
 	coldUntil  atomic.Int64
 
-	mu        sync.Mutex
-	failures  float64
-	rest      time.Duration
+	mu       sync.Mutex
+	failures float64
+	rest     time.Duration
+	// overdue counts answers that were overdue since the last one in time, and
+	// slowRest is how long the upstream was left alone for that.
+	overdue   int
+	slowRest  time.Duration
 	coldSends []time.Time
 }
 
@@ -109,7 +118,7 @@
 	switch r {
 	case Answered:
 		u.rest, fault = 0, 0
-	case Left:
+	case Left, Silent:
 		return
 	case Unreached, Replaced:
 		u.rest = min(max(restFirst, 2*u.rest), restMost)
@@ -122,6 +131,57 @@
 	}
 }
 
+// Overdue records that an answer is overdue. After several in a row the upstream
+// is slow: it is left alone for a time that doubles until it answers in time
+// again. A single one may be a cold run.
+func (b *Balancer) Overdue(u *Upstream) (slow bool) {
+	now := int64(time.Since(b.epoch))
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.overdue++
+	if u.overdue < slowAfter {
+		return false
+	}
+	if !u.avoided(now) {
+		u.slowRest = min(max(restFirst, 2*u.slowRest), restMost)
+		u.avoid(now, u.slowRest)
+	}
+	return true
+}
+
+// InTime records that the upstream answered within the time of Slow.
+func (b *Balancer) InTime(u *Upstream, took time.Duration) {
+	u.mu.Lock()
+	u.overdue, u.slowRest = 0, 0
+	u.mu.Unlock()
+	if g := b.state.Load().groups[u.Spec().Group]; g != nil {
+		g.usual.add(took)
+	}
+}
+
+// usualTime averages the time of a group's answers.
+type usualTime struct{ nanoseconds atomic.Int64 }
+
+// usualWeight is the part of the newest answer in the average, as a divisor.
+const usualWeight = 32
+
+func (t *usualTime) add(took time.Duration) {
+	old := t.nanoseconds.Load()
+	if old == 0 {
+		t.nanoseconds.CompareAndSwap(0, int64(took))
+		return
+	}
+	t.nanoseconds.CompareAndSwap(old, old+(int64(took)-old)/usualWeight)
+}
+
+// Usual returns the average time of a group's answers.
+func (b *Balancer) Usual(group string) time.Duration {
+	if g := b.state.Load().groups[group]; g != nil {
+		return time.Duration(g.usual.nanoseconds.Load())
+	}
+	return 0
+}
+
 // avoid keeps requests away from the upstream while others are left.
 func (u *Upstream) avoid(now int64, d time.Duration) {
 	u.avoidUntil.Store(max(u.avoidUntil.Load(), now+int64(d)))
--- a/internal/fggateway/distance.go
+++ b/internal/fggateway/distance.go
@@ -14,6 +14,9 @@
 	distanceSamples = 3
 	// distanceEvery separates the samples.
 	distanceEvery = 400 * time.Millisecond
+	// connectBase is added to twice the way to another region for the time that a
+	// connection to an upstream may take.
+	connectBase = 100 * time.Millisecond
 )
 
 // distances is what was measured of the ways to other regions.
@@ -45,6 +48,7 @@
 		}
 		mean := d.add(m.Region, took)
 		g.balancer.SetDistance(mean)
+		g.pool.SetConnectTimeout(connectBase + 2*mean)
 		if d.samples[m.Region] == distanceSamples {
 			g.logger.Info("way to a region measured", "region", m.Region, "ms", d.shortest[m.Region].Milliseconds(), "meanMs", mean.Milliseconds())
 		}
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -40,6 +40,14 @@
 	body     []byte
 	whole    bool
 	upstream *fgaffinity.Upstream
+	// cancel releases what bounded the exchange.
+	cancel context.CancelFunc
+}
+
+// close ends the exchange with the upstream.
+func (a *answered) close(whole bool) {
+	a.Close(whole, a.says.IdleFor)
+	a.cancel()
 }
 
 // forward sends a request to upstreams until one answers or no further try is
@@ -51,24 +59,32 @@
 	g.repeats.Earn(q.group)
 	unreached := 0
 	var no *refusal
+	// next is the upstream for a try that was paid for when a silent one was
+	// given up.
+	var next *fgaffinity.Upstream
 	for {
 		if r.Context().Err() != nil {
-			g.end(q, statusCallerLeft, codeCallerLeft, "the caller left", "")
-			panic(http.ErrAbortHandler)
+			break
 		}
 		if time.Until(q.deadline) < leastLeft {
 			no = q.late()
 			break
 		}
-		u, err := g.balancer.Choose(fgaffinity.Choice{Group: q.group, Object: q.object(), Regions: q.regions(), Objective: q.route.Objective, Tried: q.tried, Room: room})
-		if err != nil {
-			if no == nil {
-				no = q.full(codeNoRoom, err.Error())
+		u := next
+		if u == nil {
+			var err error
+			if u, err = g.balancer.Choose(q.choice()); err != nil {
+				if no == nil {
+					no = q.full(codeNoRoom, err.Error())
+				}
+				break
 			}
-			break
 		}
 		q.tried = append(q.tried, u)
-		a, result, failure := g.send(ctx, r, q, u)
+		var a *answered
+		var result fgaffinity.Result
+		var failure *refusal
+		a, result, next, failure = g.send(ctx, r, q, u)
 		if failure == nil {
 			g.deliver(w, q, a)
 			return
@@ -80,10 +96,16 @@
 			}
 			break
 		}
-		if result == fgaffinity.Left || q.mayHaveRun && !q.route.Idempotent || q.sends >= q.route.MaxAttempts || !g.allowRepeat(q) {
+		if next != nil {
+			continue
+		}
+		if ctx.Err() != nil || !g.mayRepeat(q) || !g.repeats.Take(q.group) {
 			break
 		}
 	}
+	if next != nil {
+		g.done(next, q.group, fgaffinity.Left)
+	}
 	if r.Context().Err() != nil {
 		g.end(q, statusCallerLeft, codeCallerLeft, "the caller left", "")
 		panic(http.ErrAbortHandler)
@@ -103,32 +125,52 @@
 	return ""
 }
 
+// choice describes the request to the balancer.
+func (q *request) choice() fgaffinity.Choice {
+	return fgaffinity.Choice{
+		Group: q.group, Object: q.object(), Regions: q.regions(), Objective: q.route.Objective, Tried: q.tried, Room: room,
+	}
+}
+
 // send hands a request to one upstream. A nil refusal means that the answer is
-// to be delivered.
-func (g *Gateway) send(ctx context.Context, r *http.Request, q *request, u *fgaffinity.Upstream) (*answered, fgaffinity.Result, *refusal) {
+// to be delivered. Next is the upstream that gets the request if this one was
+// given up.
+func (g *Gateway) send(ctx context.Context, r *http.Request, q *request, u *fgaffinity.Upstream) (a *answered, result fgaffinity.Result, next *fgaffinity.Upstream, no *refusal) {
 	spec := u.Spec()
 	f := fgmessage.Forward{Left: time.Until(q.deadline), UpstreamID: spec.ID}
 	if q.workspace != nil {
 		f.Workspace = q.workspace.Name
 	}
 	g.dialect.WriteForward(q.header, f)
+	began := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	w := g.watch(q, u, cancel)
 	var says fgmessage.Answer
-	a, err := g.pool.Send(ctx, fgpool.Target{ID: spec.ID, Address: spec.Address}, fgpool.Request{
+	answer, err := g.pool.Send(ctx, fgpool.Target{ID: spec.ID, Address: spec.Address}, fgpool.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: q.header, Body: q.body,
 		Accept: func(res *http.Response) bool {
 			says = g.dialect.ReadAnswer(res)
 			return says.AttemptID == q.AttemptID || says.AttemptID == "" && says.NotRun
 		},
 	})
+	inTime, next := w.end()
 	if err != nil {
-		return nil, g.unanswered(ctx, q, u, err), q.failed(ctx, err)
+		cancel()
+		return nil, g.unanswered(r, q, u, next != nil, err), next, q.failed(next != nil, err)
+	}
+	if next != nil {
+		// The answer came while the try was given up.
+		g.done(next, q.group, fgaffinity.Left)
+	}
+	if inTime {
+		g.balancer.InTime(u, time.Since(began))
 	}
 	q.sends++
 	if says.HasLoad {
 		g.balancer.Load(u, says.Load.Running+says.Load.Waiting)
 	}
-	one := &answered{Answer: a, says: says, upstream: u}
-	return one, g.examine(q, one), q.examined(one)
+	one := &answered{Answer: answer, says: says, upstream: u, cancel: cancel}
+	return one, g.examine(q, one), nil, q.examined(one)
 }
 
 // done ends a request at an upstream.
@@ -138,11 +180,13 @@
 }
 
 // unanswered counts a send that no answer came to.
-func (g *Gateway) unanswered(ctx context.Context, q *request, u *fgaffinity.Upstream, err error) fgaffinity.Result {
+func (g *Gateway) unanswered(r *http.Request, q *request, u *fgaffinity.Upstream, givenUp bool, err error) fgaffinity.Result {
 	result := fgaffinity.Lost
 	switch {
-	case ctx.Err() != nil:
+	case r.Context().Err() != nil:
 		result = fgaffinity.Left
+	case givenUp, time.Until(q.deadline) <= 0:
+		result = fgaffinity.Silent
 	case errors.Is(err, fgpool.ErrNotSent):
 		result = fgaffinity.Unreached
 	}
@@ -156,9 +200,9 @@
 }
 
 // failed returns the refusal for a send that no answer came to.
-func (q *request) failed(ctx context.Context, err error) *refusal {
+func (q *request) failed(givenUp bool, err error) *refusal {
 	switch {
-	case ctx.Err() != nil:
+	case givenUp, time.Until(q.deadline) <= 0:
 		return q.late()
 	case q.mayHaveRun:
 		return &refusal{status: http.StatusBadGateway, code: codeLost, reason: "the connection to the upstream broke; the request may have run"}
@@ -186,7 +230,7 @@
 		q.mayHaveRun = true
 	}
 	if result != fgaffinity.Answered {
-		a.Close(a.whole && result != fgaffinity.Lost, a.says.IdleFor)
+		a.close(a.whole && result != fgaffinity.Lost)
 		a.whole = true
 		g.done(a.upstream, q.group, result)
 	}
@@ -237,7 +281,7 @@
 		_, err = io.Copy(w, a.Body)
 	}
 	if !failed {
-		a.Close(err == nil, a.says.IdleFor)
+		a.close(err == nil)
 		g.done(a.upstream, q.group, fgaffinity.Answered)
 	}
 	if err != nil {
@@ -305,5 +349,8 @@
 	return q.route.Groups[0].Group
 }
 
-// allowRepeat reports whether a request may be sent to a further upstream.
-func (g *Gateway) allowRepeat(q *request) bool { return g.repeats.Take(q.group) }
+// mayRepeat reports whether a request may be sent to a further upstream: it
+// cannot have run or may run again, and tries are left.
+func (g *Gateway) mayRepeat(q *request) bool {
+	return (!q.mayHaveRun || q.route.Idempotent) && q.sends < q.route.MaxAttempts
+}
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -103,6 +103,7 @@
 	sockets  sockets
 	bounds   atomic.Pointer[Bounds]
 	leaving  atomic.Bool
+	started  time.Time
 }
 
 // logs bound the lines about requests.
@@ -122,6 +123,7 @@
 		options:  o,
 		settings: o.Settings,
 		dialect:  o.Dialect,
+		started:  time.Now(),
 		logger:   o.Logger,
 		logs:     logs{served: fglog.NewSampler(servedLines), failed: fglog.NewSampler(failedLines)},
 		meter:    fgquota.New(),
--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -138,6 +138,7 @@
 		Routes: []fgsteer.RouteSpec{
 			{Name: "read", Host: "h.example", PathPrefix: "/read/", Idempotent: true, Timeout: 5 * time.Second, MaxAttempts: 2, Groups: []fgsteer.WeightedGroup{{Group: "g", Weight: 1}}},
 			{Name: "write", Host: "h.example", PathPrefix: "/write/", Timeout: 5 * time.Second, MaxAttempts: 2, Groups: []fgsteer.WeightedGroup{{Group: "g", Weight: 1}}},
+			{Name: "once", Host: "h.example", PathPrefix: "/once/", Timeout: 400 * time.Millisecond, MaxAttempts: 2, Groups: []fgsteer.WeightedGroup{{Group: "g", Weight: 1}}},
 			{Name: "short", Host: "h.example", PathPrefix: "/short/", Idempotent: true, Timeout: 200 * time.Millisecond, MaxAttempts: 2, Groups: []fgsteer.WeightedGroup{{Group: "g", Weight: 1}}},
 		},
 		Groups:     []fgsteer.GroupSpec{{Name: "g"}},
@@ -391,6 +392,7 @@
 		{"idempotent, unsigned", "/read/x", unsigned, whole, 200, 2},
 		{"idempotent, cut", "/read/x", cut, whole, 200, 2},
 		{"idempotent, only a foreign answer", "/short/x", foreign, whole, 504, 1},
+		{"silent", "/once/x", untilLeft, whole, 504, 1},
 		{"idempotent, always broken off", "/read/x", breakOff, breakOff, 502, 2},
 		{"broken off", "/write/x", breakOff, whole, 502, 1},
 		{"unsigned", "/write/x", unsigned, whole, 502, 1},
@@ -444,6 +446,33 @@
 	}
 }
 
+// Guards against an upstream that goes silent and keeps its part of the requests,
+// and against idempotent requests that are lost with it.
+func TestSilentUpstreamIsLeft(t *testing.T) {
+	w := newWorld(t)
+	silent := make(chan struct{})
+	w.upstream("u1", func(rw http.ResponseWriter, r *http.Request) {
+		select {
+		case <-silent:
+			untilLeft(rw, r)
+		default:
+			whole(rw, r)
+		}
+	})
+	w.upstream("u2", whole)
+	g := w.gateway("vm-1", 2)
+	close(silent)
+	inARow := 0
+	w.eventually("ten answers in a row", func() bool {
+		if g.mustCall(t, http.MethodGet, "/short/x").status == 200 {
+			inARow++
+		} else {
+			inARow = 0
+		}
+		return inARow == 10
+	})
+}
+
 // Guards against an upstream that is kept at work for a caller who has left.
 func TestCallerLeaves(t *testing.T) {
 	w := newWorld(t)
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -14,6 +14,7 @@
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
+	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 )
 
 // request is a caller's request on its way through the gateway.
@@ -75,6 +76,7 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	g.awaitPolicy(r.Context(), q)
 	if no := g.admit(w, r, q); no != nil {
 		g.refuse(w, q, no)
 		return
@@ -82,6 +84,25 @@
 	g.forward(w, r, q)
 }
 
+const (
+	// policyWait is how long a request waits at a gateway that has just started
+	// for the policy: two ways to the store and back, for a connection and a call.
+	policyWait = 400 * time.Millisecond
+	// policyPoll separates looks at whether it has come.
+	policyPoll = 10 * time.Millisecond
+)
+
+// awaitPolicy waits for a policy at a gateway that has just started. A refusal
+// would send the caller away for longer than the store takes to answer.
+func (g *Gateway) awaitPolicy(ctx context.Context, q *request) {
+	for time.Since(q.began) < policyWait && (q.view == nil || q.view.Policy() == nil) && time.Since(g.started) < 2*policyWait {
+		if fgtimer.Wait(ctx, policyPoll) != nil {
+			return
+		}
+		q.view = g.mirror.View()
+	}
+}
+
 // admit decides whether a request may run, and reads it whole.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, q *request) *refusal {
 	if q.view == nil || q.view.Policy() == nil {
--- a/internal/transport/fgpool/pool.go
+++ b/internal/transport/fgpool/pool.go
@@ -20,10 +20,9 @@
 )
 
 const (
-	// connectTimeout bounds a new connection. Two regions are 110 ms apart there
-	// and back; a lost first packet is sent again after a second, when another
-	// upstream is the better choice.
-	connectTimeout = 500 * time.Millisecond
+	// connectDefault bounds a new connection. A lost first packet is sent again
+	// after a second, when another upstream is the better choice.
+	connectDefault = 500 * time.Millisecond
 	// userTimeout is how long sent bytes may stay unacknowledged.
 	userTimeout = 2 * time.Second
 	// The keep-alive probes find a connection that went silent.
@@ -79,8 +78,12 @@
 	idle map[string][]*conn
 
 	opened, reused atomic.Int64
+	connectTimeout atomic.Int64
 }
 
+// SetConnectTimeout bounds the time that a new connection may take.
+func (p *Pool) SetConnectTimeout(d time.Duration) { p.connectTimeout.Store(int64(d)) }
+
 // Opened returns how many connections were opened, and Reused how many requests
 // went over a kept one.
 func (p *Pool) Opened() int64 { return p.opened.Load() }
@@ -245,6 +248,12 @@
 		_ = c.Close()
 	}
 	p.opened.Add(1)
+	limit := time.Duration(p.connectTimeout.Load())
+	if limit <= 0 {
+		limit = connectDefault
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	return dial(ctx, t.Address)
 }
 
@@ -295,6 +304,6 @@
 	delete(p.idle, t.key())
 }
 
-var dialer = net.Dialer{Timeout: connectTimeout, KeepAliveConfig: net.KeepAliveConfig{
+var dialer = net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 	Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 }}
