--- a/internal/fgcommand/pages_test.go
+++ b/internal/fgcommand/pages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -11,9 +12,9 @@
 	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
 )
 
-// Guards against settings and refusal codes that docs/operations.md lacks.
+// Guards against settings and refusal codes that docs/OPERATIONS.md lacks.
 func TestOperationsPage(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,6 +30,37 @@
 	}
 }
 
+// Guards against ends of a gateway's requests, metrics and lines that the page
+// lacks.
+func TestGatewayPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct{ file, pattern string }{
+		{"../fggateway/request.go", `(?m)^\tcode\w+ +code = "([^"]+)"`},
+		{"../fggateway/exchange.go", `logger\.Info\("(copy of the store fetched|gateway heard)"`},
+		{"../fggateway/overdue.go", `logger\.Info\("([^"]+)"`},
+		{"../coordination/fgmirror/mirror.go", `Logger\.Info\("([^"]+)"`},
+		{"gateway.go", `logger\.Info\("([^"]+)"`},
+	}
+	for _, tt := range tests {
+		source, err := os.ReadFile(tt.file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		found := regexp.MustCompile(tt.pattern).FindAllStringSubmatch(string(source), -1)
+		if len(found) == 0 {
+			t.Errorf("%s has nothing that matches %s", tt.file, tt.pattern)
+		}
+		for _, f := range found {
+			if !strings.Contains(string(page), "`"+f[1]+"`") {
+				t.Errorf("%s of %s is not described", f[1], tt.file)
+			}
+		}
+	}
+}
+
 // Guards against codes that Codes leaves out, which pages and metrics then miss.
 func TestCodesAreComplete(t *testing.T) {
 	source, err := os.ReadFile("../protocol/fgproblem/problem.go")
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -195,7 +195,10 @@
 		q.mayHaveRun = true
 	}
 	g.done(u, q.group, result)
-	g.logger.V(0).Info("send failed", "attempt", q.AttemptID, "upstream", u.Spec().ID, "sent", q.mayHaveRun, "error", err.Error())
+	if skipped, ok := g.logs.failed.Allow(time.Now()); ok {
+		g.logger.Info("send failed", "attempt", q.AttemptID, "upstream", u.Spec().ID, "address", u.Spec().Address, "result", result.String(),
+			"sent", !errors.Is(err, fgpool.ErrNotSent), "inFlight", u.InFlight(), "error", err.Error(), "skippedLines", skipped)
+	}
 	return result
 }
 
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -107,15 +107,33 @@
 }
 
 // logs bound the lines about requests.
-type logs struct{ served, failed *fglog.Sampler }
+type logs struct{ served, unknown, failed *fglog.Sampler }
 
+// The lines per second about requests that were answered, that named no route or
+// workspace, and that failed. A flood of one kind leaves room for the others, and
+// failures are kept longest.
 const (
-	// servedLines and failedLines bound the lines per second about requests;
-	// lines about failures are kept longest.
-	servedLines = 10
-	failedLines = 100
+	servedLines  = 10
+	unknownLines = 5
+	failedLines  = 100
 )
 
+func newLogs() logs {
+	return logs{served: fglog.NewSampler(servedLines), unknown: fglog.NewSampler(unknownLines), failed: fglog.NewSampler(failedLines)}
+}
+
+// of returns what bounds the lines of requests that ended in a way.
+func (l logs) of(c code) *fglog.Sampler {
+	switch c {
+	case codeAnswered:
+		return l.served
+	case codeKeyUnknown, codeNoRoute:
+		return l.unknown
+	default:
+		return l.failed
+	}
+}
+
 // New returns a gateway. Nothing runs before Run.
 func New(o Options) *Gateway {
 	o.Settings.Self.Incarnation = rand.Uint64()
@@ -125,7 +143,7 @@
 		dialect:  o.Dialect,
 		started:  time.Now(),
 		logger:   o.Logger,
-		logs:     logs{served: fglog.NewSampler(servedLines), failed: fglog.NewSampler(failedLines)},
+		logs:     newLogs(),
 		meter:    fgquota.New(),
 		balancer: fgaffinity.New(fgaffinity.Options{
 			Region: o.Settings.Self.Region, AvailabilityZone: o.Settings.Self.AvailabilityZone, VM: o.Settings.Self.VM,
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -239,11 +239,7 @@
 		name = q.route.Name
 	}
 	g.metrics.RequestEnded(name, string(c), took)
-	sampler := g.logs.served
-	if status >= http.StatusBadRequest {
-		sampler = g.logs.failed
-	}
-	skipped, ok := sampler.Allow(q.began)
+	skipped, ok := g.logs.of(c).Allow(q.began)
 	if !ok {
 		return
 	}
