Probe an upstream whose answer is overdue

An overdue answer now opens a new connection; without any sign the upstream rests and its kept connections are closed.

--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -121,8 +121,7 @@
 	case Left, Silent:
 		return
 	case Unreached, Replaced:
-		u.rest = min(max(restFirst, 2*u.rest), restMost)
-		u.avoid(now, u.rest)
+		u.unreached(now)
 	case Failed, Shed, Lost:
 	}
 	u.failures += failureWeight * (fault - u.failures)
@@ -131,6 +130,20 @@
 	}
 }
 
+// unreached leaves the upstream alone for a time that doubles until it answers.
+func (u *Upstream) unreached(now int64) {
+	u.rest = min(max(restFirst, 2*u.rest), restMost)
+	u.avoid(now, u.rest)
+}
+
+// Unreachable records that no connection to the upstream can be made, apart from
+// any request.
+func (b *Balancer) Unreachable(u *Upstream) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.unreached(int64(time.Since(b.epoch)))
+}
+
 // Overdue records that an answer is overdue. After several in a row the upstream
 // is slow: it is left alone for a time that doubles until it answers in time
 // again. A single one may be a cold run.
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -107,19 +107,19 @@
 }
 
 // logs bound the lines about requests.
-type logs struct{ served, unknown, failed *fglog.Sampler }
+type logs struct{ served, callers, failed *fglog.Sampler }
 
-// The lines per second about requests that were answered, that named no route or
-// workspace, and that failed. A flood of one kind leaves room for the others, and
-// failures are kept longest.
+// The lines per second about requests that were answered, that were refused for
+// what their caller did, and that failed. A flood of one kind leaves room for
+// the others, and failures are kept longest.
 const (
 	servedLines  = 10
-	unknownLines = 5
+	callersLines = 10
 	failedLines  = 100
 )
 
 func newLogs() logs {
-	return logs{served: fglog.NewSampler(servedLines), unknown: fglog.NewSampler(unknownLines), failed: fglog.NewSampler(failedLines)}
+	return logs{served: fglog.NewSampler(servedLines), callers: fglog.NewSampler(callersLines), failed: fglog.NewSampler(failedLines)}
 }
 
 // of returns what bounds the lines of requests that ended in a way.
@@ -127,8 +127,8 @@
 	switch c {
 	case codeAnswered:
 		return l.served
-	case codeKeyUnknown, codeNoRoute:
-		return l.unknown
+	case codeKeyUnknown, codeNoRoute, codeAboveRate:
+		return l.callers
 	default:
 		return l.failed
 	}
--- a/internal/fggateway/overdue.go
+++ b/internal/fggateway/overdue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
+	"github.com/filbertgap/filbertgap/internal/transport/fgpool"
 )
 
 const (
@@ -45,30 +46,46 @@
 	return w
 }
 
-// expire handles an answer that is overdue.
+// expire handles an answer that is overdue. A new connection tells an upstream
+// that is gone without a word from one that is slow.
 func (w *overdueWatch) expire(attempt string, u *fgaffinity.Upstream, cancel context.CancelFunc) {
+	g, spec := w.gateway, u.Spec()
+	slow := g.balancer.Overdue(u)
+	reachable := g.pool.Probe(context.Background(), fgpool.Target{ID: spec.ID, Address: spec.Address})
+	if !reachable {
+		g.balancer.Unreachable(u)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.ended {
 		return
 	}
 	w.ended = true
-	g := w.gateway
-	slow := g.balancer.Overdue(u)
-	if w.again && slow {
-		if next, err := g.balancer.Choose(w.choice); err == nil {
-			if g.repeats.Take(w.choice.Group) {
-				w.next = next
-				cancel()
-			} else {
-				g.balancer.Done(next, fgaffinity.Left)
-			}
-		}
+	if w.again && (slow || !reachable) {
+		w.next = g.takeRepeat(w.choice)
+	}
+	if w.next != nil {
+		cancel()
 	}
 	if skipped, ok := g.logs.failed.Allow(time.Now()); ok {
-		g.logger.Info("answer overdue", "attempt", attempt, "upstream", u.Spec().ID, "overdueMs", w.after.Milliseconds(),
-			"usualMs", g.balancer.Usual(w.choice.Group).Milliseconds(), "slow", slow, "sentAgain", w.next != nil, "skippedLines", skipped)
+		g.logger.Info("answer overdue", "attempt", attempt, "upstream", spec.ID, "overdueMs", w.after.Milliseconds(),
+			"usualMs", g.balancer.Usual(w.choice.Group).Milliseconds(), "slow", slow, "reachable", reachable,
+			"sentAgain", w.next != nil, "skippedLines", skipped)
+	}
+}
+
+// takeRepeat returns the upstream for a repeat, if there is one and the fleet's
+// bound allows it.
+func (g *Gateway) takeRepeat(c fgaffinity.Choice) *fgaffinity.Upstream {
+	u, err := g.balancer.Choose(c)
+	if err != nil {
+		return nil
+	}
+	if !g.repeats.Take(c.Group) {
+		g.balancer.Done(u, fgaffinity.Left)
+		return nil
 	}
+	return u
 }
 
 // end stops the watch. It reports whether the answer was in time, and the
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -247,6 +247,9 @@
 	if q.workspace != nil {
 		workspace = q.workspace.Name
 	}
+	if upstream == "" && len(q.tried) > 0 {
+		upstream = q.tried[len(q.tried)-1].Spec().ID
+	}
 	if q.view != nil {
 		revision = q.view.Revision()
 		if p := q.view.Policy(); p != nil {
--- a/internal/transport/fgpool/pool.go
+++ b/internal/transport/fgpool/pool.go
@@ -247,6 +247,11 @@
 		}
 		_ = c.Close()
 	}
+	return p.open(ctx, t)
+}
+
+// open makes a new connection.
+func (p *Pool) open(ctx context.Context, t Target) (*conn, error) {
 	p.opened.Add(1)
 	limit := time.Duration(p.connectTimeout.Load())
 	if limit <= 0 {
@@ -257,6 +262,24 @@
 	return dial(ctx, t.Address)
 }
 
+// Probe opens a connection to an upstream whose kept connections may be dead. It
+// is kept for the next request. If there is no sign of the upstream, the others
+// are closed and Probe reports false; a refusal is a sign, since full upstreams
+// refuse connections.
+func (p *Pool) Probe(ctx context.Context, t Target) bool {
+	c, err := p.open(ctx, t)
+	if err == nil {
+		c.expires = time.Now().Add(idleDefault)
+		p.put(t.key(), c)
+		return true
+	}
+	if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+		p.Drop(t)
+		return false
+	}
+	return true
+}
+
 // Run closes connections that have been idle for too long, until the context
 // ends.
 func (p *Pool) Run(ctx context.Context) error {
--- a/internal/transport/fgpool/pool_test.go
+++ b/internal/transport/fgpool/pool_test.go
@@ -278,3 +278,42 @@
 		t.Error("a connection with an unfinished request was kept")
 	}
 }
+
+// Guards against kept connections that are used although their upstream has gone
+// without closing them.
+func TestProbe(t *testing.T) {
+	to := upstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer(id, "ok"))
+		}
+	})
+	p := &Pool{}
+	if _, err := exchange(t, p, to, "1"); err != nil {
+		t.Fatal(err)
+	}
+	if !p.Probe(t.Context(), to) {
+		t.Error("an upstream that listens gives no sign")
+	}
+	if n := len(p.idle[to.key()]); n != 2 {
+		t.Errorf("%d connections are kept, want 2", n)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	if !p.Probe(t.Context(), Target{ID: "u", Address: l.Addr().String()}) {
+		t.Error("an upstream that refuses a connection gives no sign")
+	}
+	p.SetConnectTimeout(time.Nanosecond)
+	if p.Probe(t.Context(), to) {
+		t.Error("an upstream that does not answer gives a sign")
+	}
+	if len(p.idle[to.key()]) != 0 {
+		t.Error("connections to an upstream that is gone were kept")
+	}
+}
