Give an object two upstreams, and a paused gateway no allowance

Cause 1: under high load a third and later choice runs an object cold, which costs 3.3 times its warm run and fills the group.

Objects have two upstreams. After a gap of more than a second a rate has no allowance until the next round of states, and gateways that were never heard count as asking for as much as this one.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -16,7 +16,7 @@
 const (
 	// choices is how many upstreams an object may lie on before the least
 	// loaded one of the group is taken.
-	choices = 3
+	choices = 2
 	// nearWeight says how much more an upstream of the VM's own region weighs for
 	// an object, for each objective's worth of time that the way to another region
 	// and back costs. An object has callers in one region only, so that keeping it
--- a/internal/coordination/fgquota/meter.go
+++ b/internal/coordination/fgquota/meter.go
@@ -27,6 +27,9 @@
 	silentAfter = 800 * time.Millisecond
 	// forgetAfter removes a silent peer that is not registered any more.
 	forgetAfter = 5 * time.Second
+	// maxGap is the longest time that refills a rate at once. A VM that was paused
+	// for longer does not know what the others have spent meanwhile.
+	maxGap = time.Second
 	// slackPart is the part of the allowed excess that is added to a burst. Small
 	// workspaces need it: their few tokens are spread over all VMs.
 	slackPart = 0.5
@@ -187,8 +190,14 @@
 
 // refill adds what time has brought.
 func (l *limit) refill(now time.Time) {
-	more := l.rate * now.Sub(l.refilled).Seconds()
+	gap := now.Sub(l.refilled)
+	more := l.rate * min(gap, maxGap).Seconds()
 	l.refilled = now
+	if gap > maxGap {
+		// The next Tick gives an allowance, when the others have been heard.
+		l.tokens, l.allowance = min(l.tokens+more, l.burst), 0
+		return
+	}
 	l.tokens = min(l.tokens+more, l.burst)
 	l.allowance = min(l.allowance+l.share*more, l.burst)
 }
@@ -253,7 +262,8 @@
 			total += leastDemand
 		}
 	}
-	return total + leastDemand*float64(max(0, m.members-known))
+	// Those that were never heard may ask for as much as this one.
+	return total + max(l.demand, leastDemand)*float64(max(0, m.members-known))
 }
 
 // renew gives this VM its part of the tokens that are left.
