Begin without tokens after a pause, use upstreams' own word on being cold

Cause: soak still ran 154 to 165 requests of a workspace in 5 s (allowed 152): the gateway that was paused kept its estimate, and the slack that small workspaces need was also given to larger ones.

Ruled out: the soak's clients; the counts of upstreams agree with the answers.

--- a/internal/coordination/fgquota/meter.go
+++ b/internal/coordination/fgquota/meter.go
@@ -28,11 +28,16 @@
 	// forgetAfter removes a silent peer that is not registered any more.
 	forgetAfter = 5 * time.Second
 	// maxGap is the longest time that refills a rate at once. A VM that was paused
-	// for longer does not know what the others have spent meanwhile.
+	// for longer does not know what the others have spent meanwhile, and begins
+	// without tokens like a new one.
 	maxGap = time.Second
-	// slackPart is the part of the allowed excess that is added to a burst. Small
-	// workspaces need it: their few tokens are spread over all VMs.
-	slackPart = 0.5
+	// slackMost is the part of the allowed excess that is added to the burst of the
+	// smallest rates, whose few tokens are spread over all VMs. It falls by
+	// slackFall for each request per second, down to slackLeast: what is spent too
+	// much when VMs fail grows with the rate.
+	slackMost  = 0.5
+	slackFall  = 0.01
+	slackLeast = 0.1
 )
 
 // Meter counts the requests of workspaces. It is safe for concurrent use.
@@ -121,7 +126,7 @@
 		if l == nil {
 			l = &limit{name: w.Name, refilled: now, share: 1 / float64(max(1, m.members))}
 		}
-		l.rate, l.burst = w.Rate, w.Burst+slackPart*float64(m.slack)
+		l.rate, l.burst = w.Rate, w.Burst+max(slackLeast, slackMost-slackFall*w.Rate)*float64(m.slack)
 		l.tokens = min(l.tokens, l.burst)
 		limits[w.Name] = l
 		m.byHash[Hash(w.Name)] = l
@@ -191,13 +196,12 @@
 // refill adds what time has brought.
 func (l *limit) refill(now time.Time) {
 	gap := now.Sub(l.refilled)
-	more := l.rate * min(gap, maxGap).Seconds()
 	l.refilled = now
 	if gap > maxGap {
-		// The next Tick gives an allowance, when the others have been heard.
-		l.tokens, l.allowance = min(l.tokens+more, l.burst), 0
+		l.tokens, l.allowance = min(l.tokens, 0), 0
 		return
 	}
+	more := l.rate * gap.Seconds()
 	l.tokens = min(l.tokens+more, l.burst)
 	l.allowance = min(l.allowance+l.share*more, l.burst)
 }
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -169,6 +169,9 @@
 	if says.HasLoad {
 		g.balancer.Load(u, says.Load.Running+says.Load.Waiting)
 	}
+	if says.ColdFor > 0 {
+		g.balancer.Chill(u, says.ColdFor)
+	}
 	one := &answered{Answer: answer, says: says, upstream: u, cancel: cancel}
 	return one, g.examine(q, one), nil, q.examined(one)
 }
--- a/internal/state/fgsteer/policy.go
+++ b/internal/state/fgsteer/policy.go
@@ -136,9 +136,6 @@
 	return nil, false
 }
 
-// HostRoutes returns the routes of a host.
-func (p *Policy) HostRoutes(host string) []*RouteSpec { return p.byHost[host] }
-
 // WorkspaceOf returns the workspace that a key belongs to.
 func (p *Policy) WorkspaceOf(key string) (*WorkspaceSpec, bool) {
 	w, ok := p.byKey[key]
--- a/internal/state/fgsteer/view.go
+++ b/internal/state/fgsteer/view.go
@@ -29,9 +29,6 @@
 // Spec returns what the upstream says about itself.
 func (u *Upstream) Spec() *UpstreamSpec { return &u.spec }
 
-// Cold reports whether the upstream is still slow after its start.
-func (u *Upstream) Cold(now time.Time) bool { return now.Before(u.spec.ColdUntil) }
-
 // MemberSpec is one running gateway as it registered itself.
 type MemberSpec struct {
 	VM               string
@@ -96,8 +93,3 @@
 
 // Drained reports whether operators have emptied an availability zone.
 func (v *View) Drained(zone string) bool { return v.drained[zone] }
-
-// Usable reports whether new requests may be sent to an upstream.
-func (v *View) Usable(u *Upstream) bool {
-	return !u.spec.Draining && !v.drained[u.spec.AvailabilityZone]
-}
