Correct two comments of the gateway

Cause: read again, the comment of choices told of a fallback to the least loaded upstream that is no longer there, and that of leastLeft of the way to another region, which is longer.

Only comments change. Checked: gofmt, vet, tests of fgaffinity.

Conclusion: comments say what the code does.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// choices is how many upstreams an object may lie on before the least
-	// loaded one of the group is taken.
+	// choices is how many upstreams a request may go to: the first ones of its
+	// object, or the least loaded ones if it has none. On a further one an object
+	// runs cold, which fills the group under high load.
 	choices = 2
 	// nearWeight says how much more an upstream of the VM's own region weighs for
 	// an object, for each objective's worth of time that the way to another region
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -19,8 +19,7 @@
 	// fullRetryAfter is told to callers when no upstream has room. Each caller
 	// gets up to twice this time, so that they do not return together.
 	fullRetryAfter = 100 * time.Millisecond
-	// leastLeft is the time that a send must have: the way to another region and
-	// back, or there is no use in it.
+	// leastLeft is the time that a send must have to be of use.
 	leastLeft = 20 * time.Millisecond
 	// maxUnreached is how many upstreams that cannot be reached are passed over.
 	maxUnreached = 3
