Move at most a fifth of a limit in one write of the ledger

Cause: when the platform falls silent between the holders' promises and the keeper's write, the promised units stay unused until the platform answers.

Ruled out: releasing the promises after a write without an answer, since the write may have taken effect and other holders may use the units; loans of promised units, for the same reason; asking the platform first, which is done already and leaves the time between the answer and the write.

--- a/internal/coordination/fgledger/plan.go
+++ b/internal/coordination/fgledger/plan.go
@@ -83,7 +83,7 @@
 		return
 	}
 	p.targets[name] = t
-	p.lowering = append(p.lowering, share.Lowerings(name, t)...)
+	p.lowering = append(p.lowering, share.Step(t, share.Lowerings(name, t))...)
 }
 
 // rests reports whether the difference is too small for a write.
--- a/internal/state/fgshare/ledger.go
+++ b/internal/state/fgshare/ledger.go
@@ -95,6 +95,31 @@
 	return out
 }
 
+// movedPart is the part of a limit, as a divisor, that moves in one step. The
+// units of a step stay unused while a write's outcome is unknown, which can be
+// as long as the platform is away.
+const movedPart = 5
+
+// Step bounds lowerings to what may move at once: a part of the limit, and one
+// unit at least. A limit that shrinks is lowered in one step, as its units are
+// lost to their holders in any case.
+func (s Share) Step(t Target, all []Lowering) []Lowering {
+	if t.total < s.Total {
+		return all
+	}
+	left := max(1, s.Total/movedPart)
+	var out []Lowering
+	for _, l := range all {
+		moved := min(s.Units[l.holder]-l.units, left)
+		if moved <= 0 {
+			break
+		}
+		left -= moved
+		out = append(out, Lowering{limit: l.limit, holder: l.holder, units: s.Units[l.holder] - moved})
+	}
+	return out
+}
+
 // Next returns the share moved towards a target. A holder's units fall only to
 // what it has promised, or when it is gone. Only units that are free then are
 // given to others.
--- a/internal/state/fgshare/share_test.go
+++ b/internal/state/fgshare/share_test.go
@@ -341,3 +341,31 @@
 		t.Errorf("bucket holds %d at the end of the loan, want 0", got)
 	}
 }
+
+// Guards against a move that takes a limit out of use as a whole while the
+// outcome of its write is unknown.
+func TestStepBoundsWhatMovesAtOnce(t *testing.T) {
+	share := Share{Total: 1000, Generation: 1, Units: map[string]int64{"a": 600, "b": 390, "c": 10}}
+	slots := Share{Total: 3, Generation: 1, Units: map[string]int64{"a": 3}}
+	cases := []struct {
+		name   string
+		share  Share
+		target Target
+		want   map[string]int64
+	}{
+		{"all to another holder", share, NewTarget(1000, 1, map[string]int64{"d": 1000}), map[string]int64{"a": 400}},
+		{"less than a step", share, NewTarget(1000, 1, map[string]int64{"a": 500, "b": 350, "c": 150}), map[string]int64{"a": 500, "b": 350}},
+		{"a step of two holders", share, NewTarget(1000, 1, map[string]int64{"a": 450, "b": 200, "c": 350}), map[string]int64{"a": 450, "b": 340}},
+		{"one unit at least", slots, NewTarget(3, 1, map[string]int64{"b": 3}), map[string]int64{"a": 2}},
+		{"a limit that shrinks", share, NewTarget(100, 2, map[string]int64{"a": 60, "b": 39, "c": 1}), map[string]int64{"a": 60, "b": 39, "c": 1}},
+	}
+	for _, c := range cases {
+		got := map[string]int64{}
+		for _, l := range c.share.Step(c.target, c.share.Lowerings("l", c.target)) {
+			got[l.Holder()] = l.Units()
+		}
+		if !maps.Equal(got, c.want) {
+			t.Errorf("%s: lowered to %v, want %v", c.name, got, c.want)
+		}
+	}
+}
