Take an upstream without an answer in time for full

The gateways did not see it: with 30 of them each sends to an upstream every 1.7 s, an upstream's account of its load counted for 1 s, and a timeout told nothing.

Change: no answer in time counts as a load of eight per slot, and accounts of load fade with a half-life of 1 s instead of ending after it.

TestSlowUpstreamIsLeftAlone ended its overdue answers as silent, which now moves the object at once; they end as late answers there, as its text says, with the same bounds, and TestSilentUpstreamIsFull is new.

--- a/internal/coordination/fgaffinity/balancer_test.go
+++ b/internal/coordination/fgaffinity/balancer_test.go
@@ -133,7 +133,7 @@
 			t.Error("a full upstream was chosen")
 		}
 		b.Done(first, Answered)
-		time.Sleep(2 * loadFresh)
+		time.Sleep(4 * loadHalf)
 		if again := choose(t, b, Choice{Object: "o"}); again != first {
 			t.Error("an old report keeps the object away")
 		}
@@ -333,7 +333,7 @@
 				t.Fatalf("the object moved after %d overdue answers", i)
 			}
 			b.Overdue(u)
-			b.Done(u, Silent)
+			b.Done(u, Answered)
 		}
 		if u := choose(t, b, Choice{Object: "o"}); u == first {
 			t.Error("a slow upstream was chosen")
@@ -345,6 +345,25 @@
 	})
 }
 
+// Guards against an upstream that keeps the objects it has no time for: no answer
+// in time means that requests wait there until their time has run out.
+func TestSilentUpstreamIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balancer("vm-0", view(upstreams(4)))
+		first := choose(t, b, Choice{Object: "o"})
+		b.Done(first, Silent)
+		second := choose(t, b, Choice{Object: "o"})
+		if second == first {
+			t.Error("an upstream without an answer in time was chosen again")
+		}
+		b.Done(second, Answered)
+		time.Sleep(4 * loadHalf)
+		if again := choose(t, b, Choice{Object: "o"}); again != first {
+			t.Error("the upstream does not get its object back")
+		}
+	})
+}
+
 // Guards against requests that are refused although an upstream is left: when
 // all rest, one is tried.
 func TestAllResting(t *testing.T) {
--- /dev/null
+++ b/internal/coordination/fgaffinity/load_test.go
@@ -0,0 +1,213 @@
+package fgaffinity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
+)
+
+// The replayed deployment: a region with few upstreams and as many callers as
+// the others. Only warm upstreams carry the load.
+const (
+	replayVMs       = 24
+	replayPerSecond = 1200
+	replayObjects   = 900
+	replaySlots     = 6
+	replayQueue     = 18
+	replayWarm      = 29
+	replayColdRun   = 800 * time.Millisecond
+	replayWarmRun   = 240 * time.Millisecond
+	replayWay       = 110 * time.Millisecond
+	replayObjective = 600 * time.Millisecond
+	replayTimeout   = 1500 * time.Millisecond
+)
+
+var replayRegions = []struct {
+	name      string
+	upstreams int
+}{{"small", 10}, {"middle", 44}, {"large", 50}}
+
+// replayUpstream runs an object that it ran lately in a third of the time.
+type replayUpstream struct {
+	slots chan struct{}
+
+	mu      sync.Mutex
+	present int
+	warm    []string
+}
+
+// serve runs a request, unless its time ends first. It returns the load that
+// the answer tells, and how the request ended.
+func (u *replayUpstream) serve(object string, slow float64, limit time.Duration) (load int, r Result) {
+	u.mu.Lock()
+	if u.present >= replaySlots+replayQueue {
+		u.mu.Unlock()
+		return replaySlots + replayQueue, Shed
+	}
+	u.present++
+	u.mu.Unlock()
+	defer func() {
+		u.mu.Lock()
+		load = u.present
+		u.present--
+		u.mu.Unlock()
+	}()
+	begin, timer := time.Now(), time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case u.slots <- struct{}{}:
+	case <-timer.C:
+		return 0, Silent
+	}
+	defer func() { <-u.slots }()
+	took := u.touch(object, false)
+	took = time.Duration(slow * float64(took) * (0.85 + 0.3*rand.Float64()))
+	if left := limit - time.Since(begin); took > left {
+		time.Sleep(left)
+		return 0, Silent
+	}
+	time.Sleep(took)
+	u.touch(object, true)
+	return 0, Answered
+}
+
+// touch returns how long an object runs, and keeps it as the newest one if it ran.
+func (u *replayUpstream) touch(object string, ran bool) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	took := replayColdRun
+	at := slices.Index(u.warm, object)
+	if at >= 0 {
+		took = replayWarmRun
+	}
+	if ran {
+		if at >= 0 {
+			u.warm = slices.Delete(u.warm, at, at+1)
+		}
+		u.warm = append(u.warm, object)
+		u.warm = u.warm[max(0, len(u.warm)-replayWarm):]
+	}
+	return took
+}
+
+// replayResult counts how requests ended.
+type replayResult struct{ sent, inTime, late, silent, refused int }
+
+func (r replayResult) part(n int) float64 { return float64(n) / float64(max(1, r.sent)) }
+
+// replay sends requests through the balancers of a fleet, and returns what came
+// of those that were sent after a time. Upstreams run slow times longer.
+func replay(lasts, from time.Duration, slow func(time.Duration) float64) replayResult {
+	var spec fgsteer.ViewSpec
+	models := map[string]*replayUpstream{}
+	for _, region := range replayRegions {
+		for i := range region.upstreams {
+			id := fmt.Sprintf("%s-%d", region.name, i)
+			models[id] = &replayUpstream{slots: make(chan struct{}, replaySlots)}
+			spec.Upstreams = append(spec.Upstreams, fgsteer.UpstreamSpec{ID: id, Group: "g", Address: id, Slots: replaySlots, Region: region.name, AvailabilityZone: region.name + "-a"})
+		}
+	}
+	v := fgsteer.NewView(spec)
+	fleet := make([]*Balancer, replayVMs)
+	for i := range fleet {
+		fleet[i] = New(Options{VM: fmt.Sprint("vm-", i), Region: replayRegions[i%len(replayRegions)].name})
+		fleet[i].SetDistance(replayWay)
+		fleet[i].Update(v)
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var result replayResult
+	count := func(after time.Duration, n *int) {
+		if after >= from {
+			mu.Lock()
+			defer mu.Unlock()
+			result.sent++
+			*n++
+		}
+	}
+	begin := time.Now()
+	for i := range int(lasts.Seconds() * replayPerSecond) {
+		time.Sleep(time.Until(begin.Add(time.Duration(i) * time.Second / replayPerSecond)))
+		vm, n := random.IntN(replayVMs), random.IntN(replayObjects/len(replayRegions))
+		// Each region's callers have objects of their own.
+		object := fmt.Sprint(n*len(replayRegions) + vm%len(replayRegions))
+		after := time.Since(begin)
+		wg.Go(func() {
+			b, sent := fleet[vm], time.Now()
+			u, err := b.Choose(Choice{Group: "g", Object: object, Objective: replayObjective, Room: testRoom})
+			if err != nil {
+				count(after, &result.refused)
+				return
+			}
+			way := time.Duration(0)
+			if u.Spec().Region != b.options.Region {
+				way = replayWay
+			}
+			time.Sleep(way / 2)
+			load, r := models[u.Spec().ID].serve(object, slow(after), replayTimeout-way)
+			time.Sleep(way / 2)
+			if r != Silent {
+				b.Load(u, load)
+			}
+			b.Done(u, r)
+			switch {
+			case r == Silent:
+				count(after, &result.silent)
+			case r == Shed:
+				count(after, &result.refused)
+			case time.Since(sent) > replayObjective:
+				count(after, &result.late)
+			default:
+				count(after, &result.inTime)
+			}
+		})
+	}
+	wg.Wait()
+	return result
+}
+
+// Replays a region with few upstreams that are cold at first. Its upstreams get
+// more than they can run cold, and must not stay so: what they have no time for
+// belongs to the upstreams of other regions, which have room.
+func TestSmallRegionRecoversFromAColdStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := replay(20*time.Second, 10*time.Second, coldStartRuns)
+		t.Logf("%+v: in time %.3f, late %.3f, silent %.3f, refused %.3f", r, r.part(r.inTime), r.part(r.late), r.part(r.silent), r.part(r.refused))
+		if r.part(r.inTime) < 0.95 {
+			t.Errorf("%.3f of the requests were answered in time after the start, want 0.95", r.part(r.inTime))
+		}
+	})
+}
+
+// Replays upstreams that all slow down for a while. The load is carried again
+// when that is over.
+func TestLoadIsCarriedAgainAfterASlowTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := replay(25*time.Second, 15*time.Second, func(after time.Duration) float64 {
+			if after > 5*time.Second && after < 10*time.Second {
+				return 3
+			}
+			return 1
+		})
+		t.Logf("%+v: in time %.3f, late %.3f, silent %.3f, refused %.3f", r, r.part(r.inTime), r.part(r.late), r.part(r.silent), r.part(r.refused))
+		if r.part(r.inTime) < 0.95 {
+			t.Errorf("%.3f of the requests were answered in time after the slow time, want 0.95", r.part(r.inTime))
+		}
+	})
+}
+
+// coldStartRuns doubles the time of all runs while the upstreams have just
+// started.
+func coldStartRuns(after time.Duration) float64 {
+	if after < 3*time.Second {
+		return 2
+	}
+	return 1
+}
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -4,6 +4,7 @@
 package fgaffinity
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +17,14 @@
 	// reached or broke a connection; it doubles up to restMost.
 	restFirst = 500 * time.Millisecond
 	restMost  = 4 * time.Second
-	// loadFresh is how long an upstream's own account of its load counts.
-	loadFresh = time.Second
+	// loadHalf is the time in which an upstream's own account of its load loses
+	// half of its weight. An account must outlast the time between two requests of
+	// a VM to the upstream, which is seconds in a large fleet.
+	loadHalf = time.Second
+	// silentLoad is the load for each slot that an upstream is taken to have when
+	// no answer came in time. It says nothing then, and most likely has a queue in
+	// which each request waits until its time has run out.
+	silentLoad = 8
 	// failureWeight is the weight of the newest request in the share of failures.
 	failureWeight = 0.1
 	// failureShare is the share of failed requests above which an upstream is
@@ -93,11 +100,8 @@
 
 // load estimates the requests at the upstream, from all VMs.
 func (u *Upstream) load(now int64) float64 {
-	n := float64(u.inFlight.Load())
-	if now-u.loadTime.Load() < int64(loadFresh) {
-		n += float64(u.others.Load())
-	}
-	return n
+	age := float64(now-u.loadTime.Load()) / float64(loadHalf)
+	return float64(u.inFlight.Load()) + float64(u.others.Load())*math.Exp2(-age)
 }
 
 // use returns the upstream's estimated load for each of its slots.
@@ -118,7 +122,10 @@
 	switch r {
 	case Answered:
 		u.rest, fault = 0, 0
-	case Left, Silent:
+	case Left:
+		return
+	case Silent:
+		u.observeLoad(silentLoad*u.Spec().Slots, now)
 		return
 	case Unreached, Replaced:
 		u.unreached(now)
