Leave the room of a full region to the requests that are bound to it

Change: the load per slot of a group's upstreams is averaged by region; above one, the region weighs less for requests that may run elsewhere.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -68,6 +68,8 @@
 	spec      fgsteer.GroupSpec
 	upstreams []*Upstream
 	usual     *usualTime
+	// pressures are by region.
+	pressures map[string]*pressure
 }
 
 // state is what requests read. It is immutable.
@@ -93,14 +95,16 @@
 	upstreams map[string]*Upstream
 	// seen is when each VM was last registered.
 	seen map[string]time.Time
-	// usual outlives views, by group.
-	usual map[string]*usualTime
+	// usual and pressures outlive views; they are by group, and by group and region.
+	usual     map[string]*usualTime
+	pressures map[string]map[string]*pressure
 }
 
 // New returns a balancer without upstreams.
 func New(o Options) *Balancer {
 	now := time.Now()
-	b := &Balancer{options: o, epoch: now.Add(-time.Hour), started: now, upstreams: map[string]*Upstream{}, seen: map[string]time.Time{}, usual: map[string]*usualTime{}}
+	b := &Balancer{options: o, epoch: now.Add(-time.Hour), started: now, upstreams: map[string]*Upstream{}, seen: map[string]time.Time{},
+		usual: map[string]*usualTime{}, pressures: map[string]map[string]*pressure{}}
 	b.state.Store(&state{})
 	b.bounds.Store(&coldBounds{})
 	return b
@@ -132,8 +136,9 @@
 	for name, all := range v.Groups() {
 		if b.usual[name] == nil {
 			b.usual[name] = &usualTime{}
+			b.pressures[name] = map[string]*pressure{}
 		}
-		g := &group{usual: b.usual[name]}
+		g := &group{usual: b.usual[name], pressures: map[string]*pressure{}}
 		if p := v.Policy(); p != nil {
 			if spec, ok := p.Group(name); ok {
 				g.spec = *spec
@@ -148,6 +153,13 @@
 			}
 			u.spec.Store(spec)
 			known[id] = u
+			region := b.pressures[name][spec.Region]
+			if region == nil {
+				region = &pressure{}
+				region.at.Store(int64(now.Sub(b.epoch)))
+				b.pressures[name][spec.Region] = region
+			}
+			g.pressures[spec.Region] = region
 			g.upstreams = append(g.upstreams, u)
 		}
 		s.groups[name] = g
@@ -238,14 +250,18 @@
 			len(c.Regions) > 0 && !slices.Contains(c.Regions, spec.Region) || slices.Contains(c.Tried, u) {
 			continue
 		}
-		switch {
-		case c.Object == "":
+		if c.Object == "" {
 			best.add(u, -u.use(now))
-		case spec.Region == b.options.Region:
-			best.add(u, near*rendezvous(object, u.hash, spec.Slots))
-		default:
-			best.add(u, rendezvous(object, u.hash, spec.Slots))
+			continue
+		}
+		score := rendezvous(object, u.hash, spec.Slots)
+		if len(c.Regions) == 0 {
+			score *= g.pressures[spec.Region].relief(now)
 		}
+		if spec.Region == b.options.Region {
+			score *= near
+		}
+		best.add(u, score)
 	}
 	return best
 }
@@ -304,7 +320,21 @@
 // Done ends a request at an upstream.
 func (b *Balancer) Done(u *Upstream, r Result) {
 	u.inFlight.Add(-1)
-	u.observe(r, int64(time.Since(b.epoch)))
+	now := int64(time.Since(b.epoch))
+	u.observe(r, now)
+	if r == Silent {
+		b.press(u, silentLoad, now)
+	}
+}
+
+// press takes in the load per slot of an upstream for its region.
+func (b *Balancer) press(u *Upstream, use float64, now int64) {
+	spec := u.Spec()
+	if g := b.state.Load().groups[spec.Group]; g != nil {
+		if p := g.pressures[spec.Region]; p != nil {
+			p.add(use, now)
+		}
+	}
 }
 
 // Chill records that an upstream says that it is cold for a while.
@@ -314,5 +344,7 @@
 
 // Load takes in an upstream's own account of the requests it has.
 func (b *Balancer) Load(u *Upstream, total int) {
-	u.observeLoad(total, int64(time.Since(b.epoch)))
+	now := int64(time.Since(b.epoch))
+	u.observeLoad(total, now)
+	b.press(u, float64(total)/float64(u.Spec().Slots), now)
 }
--- a/internal/coordination/fgaffinity/load_test.go
+++ b/internal/coordination/fgaffinity/load_test.go
@@ -102,8 +102,9 @@
 func (r replayResult) part(n int) float64 { return float64(n) / float64(max(1, r.sent)) }
 
 // replay sends requests through the balancers of a fleet, and returns what came
-// of those that were sent after a time. Upstreams run slow times longer.
-func replay(lasts, from time.Duration, slow func(time.Duration) float64) replayResult {
+// of those that were sent after a time. A part is bound to the small region.
+// Upstreams run slow times longer.
+func replay(lasts, from time.Duration, bound float64, slow func(time.Duration) float64) replayResult {
 	var spec fgsteer.ViewSpec
 	models := map[string]*replayUpstream{}
 	for _, region := range replayRegions {
@@ -138,10 +139,14 @@
 		vm, n := random.IntN(replayVMs), random.IntN(replayObjects/len(replayRegions))
 		// Each region's callers have objects of their own.
 		object := fmt.Sprint(n*len(replayRegions) + vm%len(replayRegions))
+		var regions []string
+		if random.Float64() < bound {
+			regions = []string{replayRegions[0].name}
+		}
 		after := time.Since(begin)
 		wg.Go(func() {
 			b, sent := fleet[vm], time.Now()
-			u, err := b.Choose(Choice{Group: "g", Object: object, Objective: replayObjective, Room: testRoom})
+			u, err := b.Choose(Choice{Group: "g", Object: object, Regions: regions, Objective: replayObjective, Room: testRoom})
 			if err != nil {
 				count(after, &result.refused)
 				return
@@ -178,7 +183,7 @@
 // belongs to the upstreams of other regions, which have room.
 func TestSmallRegionRecoversFromAColdStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := replay(20*time.Second, 10*time.Second, coldStartRuns)
+		r := replay(20*time.Second, 10*time.Second, 0, coldStartRuns)
 		t.Logf("%+v: in time %.3f, late %.3f, silent %.3f, refused %.3f", r, r.part(r.inTime), r.part(r.late), r.part(r.silent), r.part(r.refused))
 		if r.part(r.inTime) < 0.95 {
 			t.Errorf("%.3f of the requests were answered in time after the start, want 0.95", r.part(r.inTime))
@@ -186,11 +191,23 @@
 	})
 }
 
+// Replays workspaces that may run in the small region only and fill it. Requests
+// that may run elsewhere leave the room to them.
+func TestRegionKeepsItsRoomForBoundRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := replay(20*time.Second, 10*time.Second, 0.06, coldStartRuns)
+		t.Logf("%+v: in time %.3f, late %.3f, silent %.3f, refused %.3f", r, r.part(r.inTime), r.part(r.late), r.part(r.silent), r.part(r.refused))
+		if r.part(r.inTime) < 0.9 {
+			t.Errorf("%.3f of the requests were answered in time after the start, want 0.9", r.part(r.inTime))
+		}
+	})
+}
+
 // Replays upstreams that all slow down for a while. The load is carried again
 // when that is over.
 func TestLoadIsCarriedAgainAfterASlowTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := replay(25*time.Second, 15*time.Second, func(after time.Duration) float64 {
+		r := replay(25*time.Second, 15*time.Second, 0, func(after time.Duration) float64 {
 			if after > 5*time.Second && after < 10*time.Second {
 				return 3
 			}
