Compare a region's load with that of the others

Change: what counts is the excess of a region's average over that of the group, and over 0.8 per slot. The weights are computed at most ten times a second, so that a choice reads a number.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -68,8 +68,7 @@
 	spec      fgsteer.GroupSpec
 	upstreams []*Upstream
 	usual     *usualTime
-	// pressures are by region.
-	pressures map[string]*pressure
+	pressure  *pressure
 }
 
 // state is what requests read. It is immutable.
@@ -95,16 +94,16 @@
 	upstreams map[string]*Upstream
 	// seen is when each VM was last registered.
 	seen map[string]time.Time
-	// usual and pressures outlive views; they are by group, and by group and region.
+	// usual and pressures outlive views; they are by group.
 	usual     map[string]*usualTime
-	pressures map[string]map[string]*pressure
+	pressures map[string]*pressure
 }
 
 // New returns a balancer without upstreams.
 func New(o Options) *Balancer {
 	now := time.Now()
 	b := &Balancer{options: o, epoch: now.Add(-time.Hour), started: now, upstreams: map[string]*Upstream{}, seen: map[string]time.Time{},
-		usual: map[string]*usualTime{}, pressures: map[string]map[string]*pressure{}}
+		usual: map[string]*usualTime{}, pressures: map[string]*pressure{}}
 	b.state.Store(&state{})
 	b.bounds.Store(&coldBounds{})
 	return b
@@ -136,9 +135,10 @@
 	for name, all := range v.Groups() {
 		if b.usual[name] == nil {
 			b.usual[name] = &usualTime{}
-			b.pressures[name] = map[string]*pressure{}
+			b.pressures[name] = &pressure{}
 		}
-		g := &group{usual: b.usual[name], pressures: map[string]*pressure{}}
+		g := &group{usual: b.usual[name], pressure: b.pressures[name]}
+		g.pressure.reset()
 		if p := v.Policy(); p != nil {
 			if spec, ok := p.Group(name); ok {
 				g.spec = *spec
@@ -153,13 +153,7 @@
 			}
 			u.spec.Store(spec)
 			known[id] = u
-			region := b.pressures[name][spec.Region]
-			if region == nil {
-				region = &pressure{}
-				region.at.Store(int64(now.Sub(b.epoch)))
-				b.pressures[name][spec.Region] = region
-			}
-			g.pressures[spec.Region] = region
+			u.region.Store(g.pressure.region(spec.Region, spec.Slots))
 			g.upstreams = append(g.upstreams, u)
 		}
 		s.groups[name] = g
@@ -256,7 +250,7 @@
 		}
 		score := rendezvous(object, u.hash, spec.Slots)
 		if len(c.Regions) == 0 {
-			score *= g.pressures[spec.Region].relief(now)
+			score *= u.region.Load().weight()
 		}
 		if spec.Region == b.options.Region {
 			score *= near
@@ -323,17 +317,14 @@
 	now := int64(time.Since(b.epoch))
 	u.observe(r, now)
 	if r == Silent {
-		b.press(u, silentLoad, now)
+		b.press(u, silentPressure, now)
 	}
 }
 
 // press takes in the load per slot of an upstream for its region.
 func (b *Balancer) press(u *Upstream, use float64, now int64) {
-	spec := u.Spec()
-	if g := b.state.Load().groups[spec.Group]; g != nil {
-		if p := g.pressures[spec.Region]; p != nil {
-			p.add(use, now)
-		}
+	if g := b.state.Load().groups[u.Spec().Group]; g != nil {
+		g.pressure.add(u.region.Load(), use, now)
 	}
 }
 
--- a/internal/coordination/fgaffinity/pressure.go
+++ b/internal/coordination/fgaffinity/pressure.go
@@ -15,36 +15,97 @@
 	// pressureFade is the time in which the average falls to a third while nothing
 	// is heard from the region.
 	pressureFade = 8 * time.Second
-	// busy and full are the average loads per slot between which a region loses
-	// its objects to others.
-	busy = 1.0
-	full = 3.0
-	// leastRelief is the part of its weight that a full region keeps, so that its
+	// pressureEvery separates computations of the weights.
+	pressureEvery = 100 * time.Millisecond
+	// fullAverage is the average load per slot from which on a region loses objects
+	// to regions with less, and pressureSpan the excess over theirs at which it has
+	// lost nearly all.
+	fullAverage  = 0.8
+	pressureSpan = 1.0
+	// leastRelief is the part of its weight that such a region keeps, so that its
 	// load is still measured.
 	leastRelief = 0.05
 )
 
-// pressure averages the load per slot of a group's upstreams in one region.
+// pressure averages the load per slot of a group's upstreams in each region.
+// Requests that may run in several regions leave one that is fuller than the
+// others, whose room the requests bound to it need. When all are full, nothing
+// is gained by moving objects.
 type pressure struct {
-	average atomic.Uint64
-	at      atomic.Int64
-	mu      sync.Mutex
+	mu       sync.Mutex
+	regions  map[string]*regionPressure
+	computed int64
 }
 
-// add takes in an upstream's load per slot.
-func (p *pressure) add(use float64, now int64) {
+type regionPressure struct {
+	average float64
+	at      int64
+	slots   int
+	// relief is what the weight of the region's upstreams is multiplied by, as the
+	// bits of a float64.
+	relief atomic.Uint64
+}
+
+// weight returns what the weight of the region's upstreams is multiplied by.
+func (r *regionPressure) weight() float64 { return math.Float64frombits(r.relief.Load()) }
+
+// region returns the state of a region and counts an upstream's slots there.
+func (p *pressure) region(name string, slots int) *regionPressure {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.regions[name]
+	if r == nil {
+		if p.regions == nil {
+			p.regions = map[string]*regionPressure{}
+		}
+		r = &regionPressure{}
+		r.relief.Store(math.Float64bits(1))
+		p.regions[name] = r
+	}
+	r.slots += slots
+	return r
+}
+
+// reset forgets the slots of all regions, which are counted anew.
+func (p *pressure) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	weight := 1 - math.Exp(-float64(max(0, now-p.at.Load()))/float64(pressureWindow))
-	old := math.Float64frombits(p.average.Load())
-	p.average.Store(math.Float64bits(old + weight*(use-old)))
-	p.at.Store(now)
+	for _, r := range p.regions {
+		r.slots = 0
+	}
+}
+
+// add takes in the load per slot of an upstream.
+func (p *pressure) add(r *regionPressure, use float64, now int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.at == 0 {
+		r.at = now
+	}
+	weight := 1 - math.Exp(-float64(max(0, now-r.at))/float64(pressureWindow))
+	r.average += weight * (use - r.average)
+	r.at = now
+	if now-p.computed >= int64(pressureEvery) {
+		p.computed = now
+		p.compute(now)
+	}
+}
+
+// compute sets the weights of all regions.
+func (p *pressure) compute(now int64) {
+	slots, load := 0, 0.0
+	for _, r := range p.regions {
+		slots += r.slots
+		load += float64(r.slots) * r.faded(now)
+	}
+	least := max(fullAverage, load/float64(max(1, slots)))
+	for _, r := range p.regions {
+		excess := (r.faded(now) - least) / pressureSpan
+		r.relief.Store(math.Float64bits(min(1, max(leastRelief, 1-excess))))
+	}
 }
 
-// relief returns the part of its weight that a region has for requests that may
-// run elsewhere. Those bound to the region need its room.
-func (p *pressure) relief(now int64) float64 {
-	age := float64(now-p.at.Load()) / float64(pressureFade)
-	average := math.Float64frombits(p.average.Load()) * math.Exp(-age)
-	return min(1, max(leastRelief, (full-average)/(full-busy)))
+// faded returns the average as far as it still counts.
+func (r *regionPressure) faded(now int64) float64 {
+	return r.average * math.Exp(-float64(now-r.at)/float64(pressureFade))
 }
