Report only changed rates, and spend tokens that nobody else will

Change: a request beyond the allowance is admitted if the tokens exceed what the others may have spent unseen; reports name the rates whose use or demand has changed, and all of them in one report of ten. The tests' fleet reports as seldom as a real one of its size.

--- a/internal/coordination/fgquota/meter.go
+++ b/internal/coordination/fgquota/meter.go
@@ -5,11 +5,13 @@
 // requests at once and those of the others as they report them. Between two
 // reports it spends no more than its part of these tokens, which is its part of
 // the demand. Many VMs that see the same last tokens therefore do not all spend
-// them, and what one spends too much is missing from the estimate of all.
+// them, and what one spends too much is missing from the estimate of all. Tokens
+// that no other VM is likely to spend unseen are not divided.
 package fgquota
 
 import (
 	"hash/fnv"
+	"math"
 	"sync"
 	"time"
 
@@ -27,6 +29,15 @@
 	silentAfter = 800 * time.Millisecond
 	// forgetAfter removes a silent peer that is not registered any more.
 	forgetAfter = 5 * time.Second
+	// wholeEvery is the number of reports of which one names all uses. A VM that
+	// lost a report hears of it with the next change or then.
+	wholeEvery = 10
+	// demandChange is the part by which demand must change to be reported.
+	demandChange = 0.25
+	// unseenIntervals is how many intervals of reports of the others' demand may be
+	// spent unseen: one until the report, and the way to another region. One more
+	// request of each VM is added.
+	unseenIntervals = 1.5
 	// maxGap is the longest time that refills a rate at once. A VM that was paused
 	// for longer does not know what the others have spent meanwhile, and begins
 	// without tokens like a new one.
@@ -50,6 +61,8 @@
 	byHash  map[uint32]*limit
 	peers   map[string]*peer
 	members int
+	// reports counts calls of Tick.
+	reports int
 }
 
 // limit is one workspace's rate as this VM sees it.
@@ -66,6 +79,11 @@
 	asked    float64
 	// share is this VM's part of the demand.
 	share float64
+	// unseen is what the other VMs may spend before this one hears of it.
+	unseen float64
+	// toldAdmitted and toldDemand are what was last reported.
+	toldAdmitted int64
+	toldDemand   float64
 }
 
 // peer is what another VM reported.
@@ -171,9 +189,9 @@
 	l.refill(time.Now())
 	l.asked++
 	d := Decision{Tokens: l.tokens, Allowance: l.allowance, Share: l.share}
-	if l.tokens >= 1 && l.allowance >= 1 {
+	if l.tokens >= 1 && (l.allowance >= 1 || l.tokens-l.unseen >= 1) {
 		l.tokens--
-		l.allowance--
+		l.allowance = max(0, l.allowance-1)
 		l.admitted++
 		d.Allowed = true
 		return d
@@ -218,22 +236,32 @@
 	return min(max(time.Duration(missing/(l.rate*l.share)*float64(time.Second)), leastWait), mostWait)
 }
 
-// Tick renews the allowances. It is called once before each report; elapsed is
-// the time since the last call.
+// changed reports whether the others must be told of this VM's use.
+func (l *limit) changed() bool {
+	return l.admitted != l.toldAdmitted || l.demand > leastDemand && math.Abs(l.demand-l.toldDemand) > demandChange*l.toldDemand ||
+		l.demand <= leastDemand && l.toldDemand > leastDemand
+}
+
+// Tick renews the allowances, and returns what to report: what has changed, and
+// now and then everything, for VMs that missed a report. It is called once before
+// each report; elapsed is the time since the last call.
 func (m *Meter) Tick(elapsed time.Duration) []Use {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
 	weight := min(1, elapsed.Seconds()/demandWindow.Seconds())
+	m.reports++
+	whole := m.reports%wholeEvery == 0
 	uses := make([]Use, 0, len(m.limits))
 	for _, l := range m.limits {
 		l.demand += weight * (l.asked/max(elapsed.Seconds(), 1e-3) - l.demand)
 		l.asked = 0
 		l.refill(now)
 		m.assume(l, now, elapsed)
-		m.renew(l)
-		if l.admitted != 0 || l.demand > leastDemand {
+		m.renew(l, elapsed)
+		if whole && (l.admitted != 0 || l.demand > leastDemand) || l.changed() {
 			uses = append(uses, Use{Workspace: Hash(l.name), Admitted: l.admitted, Demand: l.demand})
+			l.toldAdmitted, l.toldDemand = l.admitted, l.demand
 		}
 	}
 	return uses
@@ -271,11 +299,13 @@
 }
 
 // renew gives this VM its part of the tokens that are left.
-func (m *Meter) renew(l *limit) {
-	l.share = max(l.demand, leastDemand) / m.totalDemand(l)
+func (m *Meter) renew(l *limit, elapsed time.Duration) {
+	total := m.totalDemand(l)
+	l.share = max(l.demand, leastDemand) / total
+	l.unseen = unseenIntervals*total*(1-l.share)*elapsed.Seconds() + float64(m.members-1)
 	l.allowance = l.share * l.tokens
 	switch n := float64(m.members); {
-	case l.tokens >= n/2:
+	case l.tokens >= n/2.5:
 		l.allowance = max(2, l.allowance)
 	case l.tokens >= max(1, n/4):
 		l.allowance = max(1, l.allowance)
--- a/internal/coordination/fgquota/meter_test.go
+++ b/internal/coordination/fgquota/meter_test.go
@@ -14,9 +14,11 @@
 	testSlack  = 20
 	testWindow = 5 * time.Second
 	testOver   = 0.1
-	// tellEvery is how often the gateways of the simulated fleet report.
-	tellEvery = 200 * time.Millisecond
-	step      = 10 * time.Millisecond
+	// tellEvery is how often the gateways of the simulated fleet report, and
+	// tellMembers their number from which on they report less often.
+	tellEvery   = 200 * time.Millisecond
+	tellMembers = 10
+	step        = 10 * time.Millisecond
 )
 
 // fleet is a number of meters that report to each other with a delay.
@@ -70,7 +72,7 @@
 func (f *fleet) advance() {
 	time.Sleep(step)
 	now := time.Now()
-	if now.Sub(f.told) >= tellEvery {
+	if now.Sub(f.told) >= tellEvery*time.Duration(max(len(f.meters), tellMembers))/tellMembers {
 		f.counter++
 		for i, m := range f.meters {
 			uses := m.Tick(now.Sub(f.told))
@@ -111,6 +113,8 @@
 		{"large, moving every two seconds", 7, 132, 132, 990, 55 * time.Millisecond, func(_ *rand.Rand, at time.Duration, n int) int { return int(at/(2*time.Second)) % n }, -1},
 		{"small, even", 7, 10, 10, 75, 55 * time.Millisecond, func(r *rand.Rand, _ time.Duration, n int) int { return r.IntN(n) }, -1},
 		{"many VMs", 28, 20, 20, 300, 35 * time.Millisecond, func(r *rand.Rand, _ time.Duration, n int) int { return r.IntN(n) }, -1},
+		{"large on many VMs", 28, 132, 132, 990, 55 * time.Millisecond, func(r *rand.Rand, _ time.Duration, n int) int { return r.IntN(n) }, -1},
+		{"many VMs, moving every two seconds", 28, 60, 60, 450, 55 * time.Millisecond, func(_ *rand.Rand, at time.Duration, n int) int { return int(at/(2*time.Second)) % n }, -1},
 		{"one VM cut off", 7, 132, 132, 990, 55 * time.Millisecond, func(r *rand.Rand, _ time.Duration, n int) int { return r.IntN(n) }, 3},
 	}
 	for _, tt := range tests {
@@ -135,6 +139,7 @@
 					f.advance()
 				}
 				allowed := (tt.rate*testWindow.Seconds()+tt.burst)*(1+testOver) + testSlack
+				t.Logf("seed %d: %d admitted in a window, allowed %.0f", seed, busiest(admitted, testWindow), allowed)
 				if got := busiest(admitted, testWindow); float64(got) > allowed {
 					t.Errorf("seed %d: %d admitted in a window, allowed %.0f", seed, got, allowed)
 				}
@@ -156,6 +161,7 @@
 		{"large", 7, 132, 132},
 		{"small", 7, 10, 10},
 		{"tiny on many VMs", 28, 5, 5},
+		{"large on many VMs", 28, 132, 132},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -176,6 +182,7 @@
 					}
 					f.advance()
 				}
+				t.Logf("seed %d: %d of %d refused", seed, refused, asked)
 				if refused*100 > asked {
 					t.Errorf("seed %d: %d of %d refused, want at most 1 in 100", seed, refused, asked)
 				}
@@ -308,3 +315,39 @@
 	}
 	return most
 }
+
+// Guards against reports that grow with the number of workspaces instead of
+// with what is asked.
+func TestReportsNameWhatChanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var w []fgsteer.WorkspaceSpec
+		for i := range 80 {
+			w = append(w, fgsteer.WorkspaceSpec{Name: fmt.Sprint("w", i), Rate: 100, Burst: 100})
+		}
+		f := newFleet(1, 0, w...)
+		m := f.meters[0]
+		for range 2 * wholeEvery {
+			time.Sleep(tellEvery)
+			m.Tick(tellEvery)
+		}
+		for i := range w {
+			m.Admit(w[i].Name)
+		}
+		time.Sleep(tellEvery)
+		if n := len(m.Tick(tellEvery)); n != len(w) {
+			t.Fatalf("%d of %d changes reported", n, len(w))
+		}
+		total := 0
+		for range 10 * wholeEvery {
+			m.Admit("w1")
+			time.Sleep(tellEvery)
+			total += len(m.Tick(tellEvery))
+		}
+		// All in one report of each wholeEvery, one in the others, and three times the
+		// demand, which falls from one per second below leastDemand in steps of
+		// demandChange.
+		if most := 10*len(w) + 10*(wholeEvery-1) + 3*len(w); total > most {
+			t.Errorf("%d uses in %d reports, want at most %d", total, 10*wholeEvery, most)
+		}
+	})
+}
