--- a/internal/coordination/fgquota/meter_test.go
+++ b/internal/coordination/fgquota/meter_test.go
@@ -191,6 +191,37 @@
 	}
 }
 
+// Replays a workspace whose rate was lowered below what it asks for, on many VMs.
+// What it may have it gets: parts of a token that a VM saves up must not be lost.
+func TestRateIsUsedInFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			seed, vms       = 4, 30
+			rate, perSecond = 54, 90
+		)
+		r := rand.New(rand.NewPCG(seed, seed))
+		f := newFleet(vms, 55*time.Millisecond, fgsteer.WorkspaceSpec{Name: "w", Rate: rate, Burst: rate})
+		var admitted []time.Time
+		began := time.Now()
+		for time.Since(began) < 40*time.Second {
+			for range poisson(r, perSecond*step.Seconds()) {
+				if f.meters[r.IntN(vms)].Admit("w").Allowed && time.Since(began) > 10*time.Second {
+					admitted = append(admitted, time.Now())
+				}
+			}
+			f.advance()
+		}
+		allowed := (rate*testWindow.Seconds()+rate)*(1+testOver) + testSlack
+		t.Logf("seed %d: %d admitted in 30 s of %d, %d in a window, allowed %.0f", seed, len(admitted), rate*30, busiest(admitted, testWindow), allowed)
+		if got := busiest(admitted, testWindow); float64(got) > allowed {
+			t.Errorf("seed %d: %d admitted in a window, allowed %.0f", seed, got, allowed)
+		}
+		if least := 0.95 * rate * 30; float64(len(admitted)) < least {
+			t.Errorf("seed %d: %d admitted in 30 s, want at least %.0f", seed, len(admitted), least)
+		}
+	})
+}
+
 // Guards against a restarted VM that spends a burst a second time.
 func TestNewMeterHasNoTokens(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
