Gather changes of the store for longer in large fleets

Change: the pause after an answer grows by 15 ms with each gateway, from 150 to 500 ms. A single change is not held up. Ruled out for now: a few readers that pass changes on, which needs its own proof of freshness.

Test: TestLargeFleetsGatherChanges.

--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -23,10 +23,14 @@
 	// watchWait is how long the store holds a watch without a change. Each call
 	// is priced; keep-alive probes find a silent connection sooner.
 	watchWait = 10 * time.Second
-	// batchWait gathers changes that come together, since each answer of a watch
-	// costs a call on every VM. It is a small part of the time that a change has
-	// to be in force.
-	batchWait = 150 * time.Millisecond
+	// batchLeast and batchMost bound the time in which changes that come together
+	// are gathered, since each answer of a watch costs a call on every VM. It
+	// grows by batchPerVM with the fleet, whose calls share the store's rate, and
+	// stays a part of the time that a change has to be in force. A change after a
+	// pause is not held up.
+	batchLeast = 150 * time.Millisecond
+	batchMost  = 500 * time.Millisecond
+	batchPerVM = 15 * time.Millisecond
 	// retryWait separates calls to a store that does not answer.
 	retryWait = 250 * time.Millisecond
 	// lapseHold is how long after the store's return entries that vanished are
@@ -167,7 +171,16 @@
 		return nil
 	}
 	m.apply(events, revision)
-	return fgtimer.Wait(ctx, batchWait)
+	return fgtimer.Wait(ctx, m.batchWait())
+}
+
+// batchWait returns the time between an answer of the watch and the next call.
+func (m *Mirror) batchWait() time.Duration {
+	v := m.View()
+	if v == nil {
+		return batchLeast
+	}
+	return min(max(batchLeast, batchPerVM*time.Duration(len(v.Members()))), batchMost)
 }
 
 // Revision returns the store's revision that the copy has reached.
--- a/internal/coordination/fgmirror/mirror_test.go
+++ b/internal/coordination/fgmirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -63,7 +64,7 @@
 
 // settle lets the mirror take in what has changed.
 func settle() {
-	time.Sleep(2 * batchWait)
+	time.Sleep(2 * batchLeast)
 	synctest.Wait()
 }
 
@@ -225,6 +226,44 @@
 	})
 }
 
+// Guards against calls that grow with fleet and changes together, and against a
+// single change that is held up for it.
+func TestLargeFleetsGatherChanges(t *testing.T) {
+	tests := []struct {
+		members int
+		most    time.Duration
+	}{{7, 150 * time.Millisecond}, {30, 450 * time.Millisecond}, {400, 500 * time.Millisecond}}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			f := fgstandin.NewFeed()
+			for i := range tt.members {
+				f.Put(fmt.Sprint("member/vm-", i), "")
+			}
+			m := start(t, f)
+			before := f.Watches()
+			const lasts, gap = 9 * time.Second, 10 * time.Millisecond
+			for range int(lasts / gap) {
+				f.Put("up/a", "")
+				time.Sleep(gap)
+			}
+			if got, most := f.Watches()-before, int(lasts/tt.most)+1; got > most {
+				t.Errorf("%d members: %d watches in %v of changes, want at most %d", tt.members, got, lasts, most)
+			}
+			time.Sleep(tt.most)
+			synctest.Wait()
+			f.Put("up/b", "")
+			synctest.Wait()
+			expect(t, m, "a", "b")
+			time.Sleep(time.Second)
+			f.Put("up/c", "")
+			f.Put("up/d", "")
+			time.Sleep(tt.most)
+			synctest.Wait()
+			expect(t, m, "a", "b", "c", "d")
+		})
+	}
+}
+
 // Guards against a VM that stays unlisted after its lease ended, or listed after
 // it stopped.
 func TestAnnounce(t *testing.T) {
--- a/internal/fgstandin/feed.go
+++ b/internal/fgstandin/feed.go
@@ -23,6 +23,7 @@
 	lastID   int64
 	changed  chan struct{}
 	ranges   int
+	watches  int
 }
 
 // NewFeed returns an empty store.
@@ -93,6 +94,9 @@
 // WatchEvents waits for changes.
 func (f *Feed) WatchEvents(ctx context.Context, _ string, after uint64, wait time.Duration) ([]fgstore.Event, uint64, error) {
 	due := time.After(wait)
+	f.mu.Lock()
+	f.watches++
+	f.mu.Unlock()
 	for {
 		f.mu.Lock()
 		if f.failure != nil {
@@ -189,6 +193,13 @@
 	return f.ranges
 }
 
+// Watches returns how many watches were called.
+func (f *Feed) Watches() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watches
+}
+
 // Values returns all values and the store's revision.
 func (f *Feed) Values() ([]fgstore.Value, uint64) {
 	f.mu.Lock()
