Deliver long failures of upstreams whole

Cause: an upstream's 5xx with more than 64 KiB was closed after its first part, before it was delivered: cut with a length, and whole to the eye without one.

Change: an answer is judged once, and its exchange ends after it was delivered. A send has one result instead of four.

Test: TestLongFailureIsWhole, seen failing (65,536 of 196,608 bytes).

--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -39,6 +39,8 @@
 	body     []byte
 	whole    bool
 	upstream *fgaffinity.Upstream
+	// result is what the answer tells of the upstream.
+	result fgaffinity.Result
 	// cancel releases what bounded the exchange.
 	cancel context.CancelFunc
 }
@@ -80,16 +82,13 @@
 			}
 		}
 		q.tried = append(q.tried, u)
-		var a *answered
-		var result fgaffinity.Result
-		var failure *refusal
-		a, result, next, failure = g.send(ctx, r, q, u)
-		if failure == nil {
-			g.deliver(w, q, a)
+		o := g.send(ctx, r, q, u)
+		if o.refusal == nil {
+			g.deliver(w, q, o.answer)
 			return
 		}
-		no = failure
-		if result == fgaffinity.Unreached || result == fgaffinity.Replaced {
+		next, no = o.next, o.refusal
+		if o.result == fgaffinity.Unreached || o.result == fgaffinity.Replaced {
 			if unreached++; unreached <= maxUnreached {
 				continue
 			}
@@ -131,10 +130,18 @@
 	}
 }
 
-// send hands a request to one upstream. A nil refusal means that the answer is
-// to be delivered. Next is the upstream that gets the request if this one was
-// given up.
-func (g *Gateway) send(ctx context.Context, r *http.Request, q *request, u *fgaffinity.Upstream) (a *answered, result fgaffinity.Result, next *fgaffinity.Upstream, no *refusal) {
+// outcome is what came of a send.
+type outcome struct {
+	// answer is to be delivered if there is no refusal.
+	answer  *answered
+	result  fgaffinity.Result
+	refusal *refusal
+	// next is the upstream that gets the request if this one was given up.
+	next *fgaffinity.Upstream
+}
+
+// send hands a request to one upstream.
+func (g *Gateway) send(ctx context.Context, r *http.Request, q *request, u *fgaffinity.Upstream) outcome {
 	spec := u.Spec()
 	f := fgmessage.Forward{Left: time.Until(q.deadline), UpstreamID: spec.ID}
 	if q.workspace != nil {
@@ -155,7 +162,8 @@
 	inTime, next := w.end()
 	if err != nil {
 		cancel()
-		return nil, g.unanswered(r, q, u, next != nil, err), next, q.failed(next != nil, err)
+		result := g.unanswered(r, q, u, next != nil, err)
+		return outcome{result: result, refusal: q.failed(next != nil, err), next: next}
 	}
 	if next != nil {
 		// The answer came while the try was given up.
@@ -172,7 +180,8 @@
 		g.balancer.Chill(u, says.ColdFor)
 	}
 	one := &answered{Answer: answer, says: says, upstream: u, cancel: cancel}
-	return one, g.examine(q, one), nil, q.examined(one)
+	no := g.examine(q, one)
+	return outcome{answer: one, result: one.result, refusal: no}
 }
 
 // done ends a request at an upstream.
@@ -216,43 +225,31 @@
 	}
 }
 
-// examine reads an answer as far as needed to judge it, and counts it.
-func (g *Gateway) examine(q *request, a *answered) fgaffinity.Result {
+// examine reads an answer as far as needed to judge it. It returns the refusal
+// that stands for one which is not passed on, whose exchange it ends.
+func (g *Gateway) examine(q *request, a *answered) *refusal {
 	a.body, a.whole = readPart(a.Body)
-	result := fgaffinity.Answered
+	var no *refusal
 	switch {
 	case a.says.OtherUpstream:
-		result = fgaffinity.Replaced
+		a.result, no = fgaffinity.Replaced, q.full(codeShed, "another program has the upstream's address")
 	case a.says.NotRun:
-		result = fgaffinity.Shed
+		a.result, no = fgaffinity.Shed, q.full(codeShed, "the upstream refused the request")
 	case a.body == nil, a.StatusCode < 300 && !a.says.Signed:
-		result = fgaffinity.Lost
 		q.mayHaveRun = true
+		a.result, no = fgaffinity.Lost, &refusal{status: http.StatusBadGateway, code: codeNotWhole, reason: "the upstream's answer is not whole"}
 	case a.StatusCode >= http.StatusInternalServerError:
-		result = fgaffinity.Failed
 		q.mayHaveRun = true
+		a.result = fgaffinity.Failed
 	default:
 		q.mayHaveRun = true
+		a.result = fgaffinity.Answered
 	}
-	if result != fgaffinity.Answered {
-		a.close(a.whole && result != fgaffinity.Lost)
-		a.whole = true
-		g.done(a.upstream, q.group, result)
-	}
-	return result
-}
-
-// examined returns the refusal that stands for an answer which is not passed
-// on, or nil.
-func (q *request) examined(a *answered) *refusal {
-	switch {
-	case a.says.NotRun:
-		return q.full(codeShed, "the upstream refused the request")
-	case a.body == nil, a.StatusCode < 300 && !a.says.Signed:
-		return &refusal{status: http.StatusBadGateway, code: codeNotWhole, reason: "the upstream's answer is not whole"}
-	default:
-		return nil
+	if no != nil {
+		a.close(a.whole && a.result != fgaffinity.Lost)
+		g.done(a.upstream, q.group, a.result)
 	}
+	return no
 }
 
 // readPart reads the first part of a body. A nil slice means that it broke off;
@@ -281,14 +278,11 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(a.StatusCode)
 	_, err := w.Write(a.body)
-	failed := a.StatusCode >= http.StatusInternalServerError
 	if !a.whole && err == nil {
 		_, err = io.Copy(w, a.Body)
 	}
-	if !failed {
-		a.close(err == nil)
-		g.done(a.upstream, q.group, fgaffinity.Answered)
-	}
+	a.close(err == nil)
+	g.done(a.upstream, q.group, a.result)
 	if err != nil {
 		g.end(q, statusCallerLeft, codeAnswerCut, "the answer was cut: "+err.Error(), a.upstream.Spec().ID)
 		panic(http.ErrAbortHandler)
--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -622,3 +622,31 @@
 		}
 	}
 }
+
+// Guards against a long failure of an upstream that reaches its caller cut, or
+// looks whole although it is cut.
+func TestLongFailureIsWhole(t *testing.T) {
+	long := strings.Repeat("x", 3*bufferedBytes)
+	cases := []struct {
+		name   string
+		length bool
+	}{{"with a length", true}, {"in chunks", false}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.upstream("u1", func(rw http.ResponseWriter, _ *http.Request) {
+				if c.length {
+					rw.Header().Set("Content-Length", strconv.Itoa(len(long)))
+				}
+				rw.Header().Set("T-Signed", "s")
+				rw.WriteHeader(http.StatusInternalServerError)
+				_, _ = io.WriteString(rw, long)
+			})
+			g := w.gateway("vm-1", 1)
+			a, err := g.call(t, http.MethodPut, "/write/x")
+			if err != nil || a.status != http.StatusInternalServerError || a.body != long {
+				t.Errorf("status %d, %d bytes of %d, error %v", a.status, len(a.body), len(long), err)
+			}
+		})
+	}
+}
