Refuse requests that crash one upstream after the other

Cause: the gateway did not recognise a request that crashes each upstream that runs it; its caller sends it again through any gateway, and each run ends what else the upstream had in flight. A request whose caller left before it was sent also kept its token.

Change: when a connection breaks under a request, a new one tells a crashed upstream from a lost answer. Gateways tell each other which upstreams crashed under which request (hash of method, path, workspace and body); after three the request is refused for 30 s, and after one more crash again. A run to its end clears it everywhere.

--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -77,6 +77,7 @@
 			Workspace: u.Workspace, Admitted: u.Admitted, Demand: uint32(10 * u.Demand),
 		})
 	}
+	state.Crashes = g.tellCrashes()
 	if err := s.Send(state, g.peerAddresses()); err != nil {
 		g.logger.V(1).Info("state not sent to every gateway", "error", err.Error())
 	}
@@ -107,6 +108,7 @@
 		uses[i] = fgquota.Use{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted(), Demand: float64(u.GetDemand()) / 10}
 	}
 	g.meter.Hear(s.GetVm(), s.GetIncarnation(), s.GetSequence(), uses)
+	g.hearCrashes(s.GetCrashes())
 	now := time.Now()
 	p := &g.peers
 	p.mu.Lock()
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -84,6 +84,7 @@
 		q.tried = append(q.tried, u)
 		o := g.send(ctx, r, q, u)
 		if o.refusal == nil {
+			g.acquit(r, q)
 			g.deliver(w, q, o.answer)
 			return
 		}
@@ -105,6 +106,7 @@
 		g.done(next, q.group, fgaffinity.Left)
 	}
 	if r.Context().Err() != nil {
+		g.giveBack(q)
 		g.end(q, statusCallerLeft, codeCallerLeft, "the caller left", "")
 		panic(http.ErrAbortHandler)
 	}
@@ -205,6 +207,9 @@
 		q.sends++
 		q.mayHaveRun = true
 	}
+	if result == fgaffinity.Lost {
+		g.suspect(r, q, u)
+	}
 	g.done(u, q.group, result)
 	if skipped, ok := g.logs.failed.Allow(time.Now()); ok {
 		g.logger.Info("send failed", "attempt", q.AttemptID, "upstream", u.Spec().ID, "address", u.Spec().Address, "result", result.String(),
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/filbertgap/filbertgap/internal/fgmetrics"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
+	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
 	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 	"github.com/filbertgap/filbertgap/internal/transport/fggossip"
 	"github.com/filbertgap/filbertgap/internal/transport/fgpool"
@@ -96,6 +97,7 @@
 	balancer *fgaffinity.Balancer
 	repeats  fgaffinity.Repeats
 	meter    *fgquota.Meter
+	crashes  fgsuspect.Crashes
 	metrics  *fgmetrics.Gateway
 	peers    peers
 	pool     fgpool.Pool
--- a/internal/fggateway/overdue.go
+++ b/internal/fggateway/overdue.go
@@ -51,7 +51,8 @@
 func (w *overdueWatch) expire(attempt string, u *fgaffinity.Upstream, cancel context.CancelFunc) {
 	g, spec := w.gateway, u.Spec()
 	slow := g.balancer.Overdue(u)
-	reachable := g.pool.Probe(context.Background(), fgpool.Target{ID: spec.ID, Address: spec.Address})
+	sign := g.pool.Probe(context.Background(), fgpool.Target{ID: spec.ID, Address: spec.Address})
+	reachable := sign != fgpool.Silent
 	if !reachable {
 		g.balancer.Unreachable(u)
 	}
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -59,6 +59,7 @@
 	codeLost        code = "upstream-lost"
 	codeNotWhole    code = "answer-not-whole"
 	codeLate        code = "late"
+	codeCrashes     code = "crashes-upstreams"
 )
 
 // refusal is an answer of the gateway's own.
@@ -132,6 +133,9 @@
 		return no
 	}
 	q.header = forwardedHeader(r.Header)
+	if no := g.refuseCrashing(r, q); no != nil {
+		return no
+	}
 	return g.meterRequest(q)
 }
 
@@ -214,11 +218,16 @@
 	return context.WithDeadline(ctx, q.deadline)
 }
 
-// refuse answers a request that no upstream answered.
-func (g *Gateway) refuse(w http.ResponseWriter, q *request, no *refusal) {
+// giveBack returns the token of a request that no upstream can have run.
+func (g *Gateway) giveBack(q *request) {
 	if q.metered && !q.mayHaveRun {
 		g.meter.GiveBack(q.workspace.Name)
 	}
+}
+
+// refuse answers a request that no upstream answered.
+func (g *Gateway) refuse(w http.ResponseWriter, q *request, no *refusal) {
+	g.giveBack(q)
 	h := w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if no.retryAfter > 0 {
--- a/internal/transport/fgpool/pool.go
+++ b/internal/transport/fgpool/pool.go
@@ -262,22 +262,43 @@
 	return dial(ctx, t.Address)
 }
 
+// Sign is what a new connection tells of an upstream.
+type Sign int
+
+// The signs of an upstream.
+const (
+	// Connected means that the upstream takes connections.
+	Connected Sign = iota
+	// Refused means that its VM runs, but no program listens or it takes no more
+	// connections.
+	Refused
+	// Silent means that nothing answers at its address.
+	Silent
+)
+
+// String returns the sign's name in log lines.
+func (s Sign) String() string {
+	names := [...]string{Connected: "connected", Refused: "refused", Silent: "silent"}
+	if int(s) < len(names) {
+		return names[s]
+	}
+	return "unknown"
+}
+
 // Probe opens a connection to an upstream whose kept connections may be dead. It
-// is kept for the next request. If there is no sign of the upstream, the others
-// are closed and Probe reports false; a refusal is a sign, since full upstreams
-// refuse connections.
-func (p *Pool) Probe(ctx context.Context, t Target) bool {
+// is kept for the next request. If nothing answers, the others are closed.
+func (p *Pool) Probe(ctx context.Context, t Target) Sign {
 	c, err := p.open(ctx, t)
 	if err == nil {
 		c.expires = time.Now().Add(idleDefault)
 		p.put(t.key(), c)
-		return true
+		return Connected
 	}
 	if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
 		p.Drop(t)
-		return false
+		return Silent
 	}
-	return true
+	return Refused
 }
 
 // Run closes connections that have been idle for too long, until the context
--- a/internal/transport/fgpool/pool_test.go
+++ b/internal/transport/fgpool/pool_test.go
@@ -295,7 +295,7 @@
 	if _, err := exchange(t, p, to, "1"); err != nil {
 		t.Fatal(err)
 	}
-	if !p.Probe(t.Context(), to) {
+	if p.Probe(t.Context(), to) != Connected {
 		t.Error("an upstream that listens gives no sign")
 	}
 	if n := len(p.idle[to.key()]); n != 2 {
@@ -306,11 +306,11 @@
 		t.Fatal(err)
 	}
 	_ = l.Close()
-	if !p.Probe(t.Context(), Target{ID: "u", Address: l.Addr().String()}) {
-		t.Error("an upstream that refuses a connection gives no sign")
+	if p.Probe(t.Context(), Target{ID: "u", Address: l.Addr().String()}) != Refused {
+		t.Error("an upstream that refuses a connection is not told apart")
 	}
 	p.SetConnectTimeout(time.Nanosecond)
-	if p.Probe(t.Context(), to) {
+	if p.Probe(t.Context(), to) != Silent {
 		t.Error("an upstream that does not answer gives a sign")
 	}
 	if len(p.idle[to.key()]) != 0 {
