Hold callers' connections to the policy's limits

Operators declare the idle time (15 s there), the time for a header and its size, which were not used.

Change: a connection is served under the limits that are in force when it is opened. net/http reads them from its server at any time, so that each set of limits has a server of its own behind one listener.

Test: TestCallerLimitsFollowThePolicy.

--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -31,13 +31,12 @@
 )
 
 const (
-	// readHeaderTimeout bounds how long a caller may take to send its header.
+	// readHeaderTimeout, idleTimeout and maxHeaderBytes bound callers while no
+	// policy is known: the time to send a header, the time without a request, and
+	// the header's size, to which net/http adds 4 KiB.
 	readHeaderTimeout = 5 * time.Second
-	// idleTimeout is how long a caller's connection may stay idle. Callers may
-	// use one that was idle for four fifths of the declared time.
-	idleTimeout = 60 * time.Second
-	// maxHeaderBytes bounds a caller's header; net/http adds 4 KiB to it.
-	maxHeaderBytes = 64 << 10
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 64 << 10
 	// acceptFor is how long a stopping gateway takes requests: callers keep
 	// look-up answers for up to three lifetimes.
 	acceptFor = 3 * time.Second
@@ -259,11 +258,11 @@
 	announcing, withdraw := context.WithCancel(background)
 	defer withdraw()
 
-	callers, ready, lookup := g.newServer(http.HandlerFunc(g.serveCaller)), g.newServer(g.readyHandler()), g.newServer(g.lookupHandler())
-	metrics := g.newServer(g.metricsHandler())
+	callers := newCallers(g.sockets.callers, http.HandlerFunc(g.serveCaller), g.callerLimits, g.logger)
+	ready, lookup, metrics := newServer(g.readyHandler()), newServer(g.lookupHandler()), newServer(g.metricsHandler())
 	parts := []part{
 		{"metrics", func(context.Context) error { return metrics.Serve(g.sockets.metrics) }},
-		{"callers", func(context.Context) error { return callers.Serve(g.sockets.callers) }},
+		{"callers", callers.serve},
 		{"ready", func(context.Context) error { return ready.Serve(g.sockets.ready) }},
 		{"look-ups", func(context.Context) error { return lookup.Serve(g.sockets.lookup) }},
 		{"exchange", func(ctx context.Context) error { return g.exchange(ctx, g.sockets.peers) }},
@@ -311,17 +310,25 @@
 	return fmt.Errorf("%s ended: %w", p.name, err)
 }
 
-func (g *Gateway) newServer(h http.Handler) *http.Server {
+func newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
 	}
 }
 
+// callerLimits returns the policy's limits for new connections of callers.
+func (g *Gateway) callerLimits() fgsteer.CallerLimits {
+	if v := g.mirror.View(); v != nil && v.Policy() != nil {
+		return v.Policy().Limits()
+	}
+	return fgsteer.CallerLimits{}
+}
+
 // stop leaves without cutting a request: the VM disappears from look-ups, goes
 // on serving callers that still hold an answer, and closes each connection with
 // its next answer.
-func (g *Gateway) stop(callers *http.Server, withdraw func()) {
+func (g *Gateway) stop(callers *callers, withdraw func()) {
 	began, grace := time.Now(), g.bounds.Load().Grace
 	g.logger.Info("gateway is leaving", "vm", g.settings.Self.VM, "grace", grace.String())
 	g.leaving.Store(true)
