Keep an object in one of a route's weighted groups

Cause: a route's requests were divided between its groups by chance, so that each object ran in every group and was cold in more upstreams, and a changed weight brought all objects to the new group.

Change: an object's hash decides its group; when a group is four requests ahead of its weight on a VM, requests go to the one that lacks most.

Tests: TestObjectsKeepTheirGroup, TestChangedWeightMovesFewObjects, TestGroupsGetTheirWeights.

--- /dev/null
+++ b/internal/coordination/fgaffinity/groups_test.go
@@ -0,0 +1,88 @@
+package fgaffinity
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
+)
+
+func splitRoute(weights ...int) *fgsteer.RouteSpec {
+	r := &fgsteer.RouteSpec{Name: "r"}
+	for i, w := range weights {
+		r.Groups = append(r.Groups, fgsteer.WeightedGroup{Group: fmt.Sprint("g", i), Weight: w})
+	}
+	return r
+}
+
+// Guards against objects that run cold in several groups, and against VMs that
+// send one object to different groups.
+func TestObjectsKeepTheirGroup(t *testing.T) {
+	var a, b Groups
+	moved, sent := 0, 0
+	random := rand.New(rand.NewPCG(5, 5))
+	for range 5000 {
+		object := fmt.Sprint(random.IntN(300))
+		sent++
+		if a.Pick(splitRoute(90, 10), object) != b.Pick(splitRoute(90, 10), object) {
+			moved++
+		}
+		b.Pick(splitRoute(90, 10), fmt.Sprint(random.IntN(300)))
+	}
+	if moved*20 > sent {
+		t.Errorf("%d of %d requests went to different groups", moved, sent)
+	}
+}
+
+// Guards against a changed weight that moves objects it need not move.
+func TestChangedWeightMovesFewObjects(t *testing.T) {
+	moved := 0
+	for i := range 1000 {
+		var before, after Groups
+		object := fmt.Sprint(i)
+		if before.Pick(splitRoute(90, 10), object) != after.Pick(splitRoute(70, 30), object) {
+			moved++
+		}
+	}
+	if moved > 250 {
+		t.Errorf("%d of 1000 objects moved, want about 200", moved)
+	}
+}
+
+// Guards against groups that do not get their weights, also with few objects of
+// which one is asked for most.
+func TestGroupsGetTheirWeights(t *testing.T) {
+	tests := []struct {
+		name    string
+		weights []int
+		object  func(*rand.Rand) string
+	}{
+		{"many objects", []int{90, 10}, func(r *rand.Rand) string { return fmt.Sprint(r.IntN(300)) }},
+		{"few objects", []int{50, 50}, func(r *rand.Rand) string { return fmt.Sprint(r.IntN(5)) }},
+		{"one object", []int{60, 30, 10}, func(*rand.Rand) string { return "o" }},
+		{"no objects", []int{80, 20}, func(*rand.Rand) string { return "" }},
+		{"a group without weight", []int{0, 40, 60}, func(r *rand.Rand) string { return fmt.Sprint(r.IntN(30)) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var g Groups
+			r, random := splitRoute(tt.weights...), rand.New(rand.NewPCG(6, 6))
+			const sent = 300
+			got, total := map[string]int{}, 0
+			for range sent {
+				got[g.Pick(r, tt.object(random))]++
+			}
+			for _, w := range tt.weights {
+				total += w
+			}
+			for i, w := range tt.weights {
+				share, want := float64(got[fmt.Sprint("g", i)])/sent, float64(w)/float64(total)
+				if math.Abs(share-want) > 0.05 || w == 0 && share > 0 {
+					t.Errorf("group %d got %.3f of the requests, want %.3f", i, share, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -56,7 +56,7 @@
 func (g *Gateway) forward(w http.ResponseWriter, r *http.Request, q *request) {
 	ctx, cancel := q.context(r)
 	defer cancel()
-	q.group = g.pickGroup(q)
+	q.group = g.groups.Pick(q.route, q.object())
 	g.repeats.Earn(q.group)
 	unreached := 0
 	var no *refusal
@@ -335,24 +335,6 @@
 	return both
 }
 
-// pickGroup divides a route's requests between its groups by weight.
-func (g *Gateway) pickGroup(q *request) string {
-	total := 0
-	for _, one := range q.route.Groups {
-		total += one.Weight
-	}
-	if total <= 0 {
-		return q.route.Groups[0].Group
-	}
-	n := rand.IntN(total)
-	for _, one := range q.route.Groups {
-		if n -= one.Weight; n < 0 {
-			return one.Group
-		}
-	}
-	return q.route.Groups[0].Group
-}
-
 // mayRepeat reports whether a request may be sent to a further upstream: it
 // cannot have run or may run again, and tries are left.
 func (g *Gateway) mayRepeat(q *request) bool {
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -94,6 +94,7 @@
 	logger   logr.Logger
 	mirror   *fgmirror.Mirror
 	balancer *fgaffinity.Balancer
+	groups   fgaffinity.Groups
 	repeats  fgaffinity.Repeats
 	meter    *fgquota.Meter
 	crashes  fgsuspect.Crashes
