Bound the memory of bodies, count the gateway itself as a member

Cause: bodies up to the policy's 64 MB are read whole, and written from a second copy; a few at once exceed the 284 MB of the smallest VM.

Change: bodies in flight share a quarter of the VM's memory; one that finds none is refused with 503 before it runs and told when to come back. A long body is written without a copy. A gateway is a member from its start.

Ruled out: streaming long bodies, which gives up the second try of a request that an upstream has refused.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -121,6 +121,8 @@
 	defer b.mu.Unlock()
 	s := &state{view: v, groups: map[string]*group{}}
 	now := time.Now()
+	// This VM sends requests before its own entry is in the view.
+	b.seen[b.options.VM] = now
 	for _, m := range v.Members() {
 		b.seen[m.VM] = now
 	}
--- a/internal/fgcommand/gateway.go
+++ b/internal/fgcommand/gateway.go
@@ -89,7 +89,7 @@
 			CallerAddress: s.CallerListen, PeerAddress: s.PeerListen,
 		},
 		CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, LookupListen: s.LookupListen,
-		PeerListen: s.PeerListen, MetricsListen: s.MetricsListen,
+		PeerListen: s.PeerListen, MetricsListen: s.MetricsListen, MemoryBytes: s.MemoryBytes,
 		Bounds: fggateway.Bounds{
 			LookupLifetime: s.Bounds.LookupLifetime, Grace: s.Bounds.Grace,
 			ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack,
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -52,7 +52,9 @@
 	LookupListen  string
 	PeerListen    string
 	MetricsListen string
-	Bounds        Bounds
+	// MemoryBytes is the memory of the process. Zero: not bounded.
+	MemoryBytes int64
+	Bounds      Bounds
 }
 
 // Bounds are the figures that a gateway is held to. They may change while it
@@ -98,6 +100,7 @@
 	repeats  fgaffinity.Repeats
 	meter    *fgquota.Meter
 	crashes  fgsuspect.Crashes
+	bodies   bodyMemory
 	metrics  *fgmetrics.Gateway
 	peers    peers
 	pool     fgpool.Pool
@@ -151,6 +154,7 @@
 			Region: o.Settings.Self.Region, AvailabilityZone: o.Settings.Self.AvailabilityZone, VM: o.Settings.Self.VM,
 		}),
 	}
+	g.bodies.limit = o.Settings.MemoryBytes / bodyPart
 	g.SetBounds(o.Settings.Bounds)
 	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.update})
 	g.metrics = g.newMetrics()
@@ -200,11 +204,14 @@
 // update takes over a view.
 func (g *Gateway) update(v *fgsteer.View) {
 	g.balancer.Update(v)
-	g.repeats.SetMembers(len(v.Members()))
-	var vms []string
+	// This VM takes requests before its own entry is in the view.
+	vms := []string{g.settings.Self.VM}
 	for _, m := range v.Members() {
-		vms = append(vms, m.VM)
+		if m.VM != g.settings.Self.VM {
+			vms = append(vms, m.VM)
+		}
 	}
+	g.repeats.SetMembers(len(vms))
 	g.meter.SetMembers(vms)
 	if p := v.Policy(); p != nil {
 		g.meter.SetPolicy(p)
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -29,6 +28,8 @@
 	group     string
 	header    http.Header
 	body      []byte
+	// reserved is the memory that is counted for the body.
+	reserved int64
 	// tried lists the upstreams that the request was handed to.
 	tried []*fgaffinity.Upstream
 	// mayHaveRun means that some upstream may have run the request.
@@ -60,6 +61,7 @@
 	codeNotWhole    code = "answer-not-whole"
 	codeLate        code = "late"
 	codeCrashes     code = "crashes-upstreams"
+	codeNoMemory    code = "no-memory"
 )
 
 // refusal is an answer of the gateway's own.
@@ -77,6 +79,7 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { g.bodies.release(q.reserved) }()
 	g.awaitPolicy(r.Context(), q)
 	if no := g.admit(w, r, q); no != nil {
 		g.refuse(w, q, no)
@@ -129,7 +132,7 @@
 		limit = min(limit, q.Patience)
 	}
 	q.deadline = q.began.Add(limit)
-	if no := q.readBody(w, r, policy.Limits().MaxBodyBytes); no != nil {
+	if no := g.readBody(w, r, q, policy.Limits().MaxBodyBytes); no != nil {
 		return no
 	}
 	q.header = forwardedHeader(r.Header)
@@ -157,28 +160,6 @@
 	}
 }
 
-// readBody reads the caller's body, which is needed whole to send it again to
-// another upstream when one has refused it.
-func (q *request) readBody(w http.ResponseWriter, r *http.Request, limit int64) *refusal {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil
-	}
-	c := http.NewResponseController(w)
-	_ = c.SetReadDeadline(q.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	// A deadline that passes later would look like the caller's leaving.
-	_ = c.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return &refusal{status: http.StatusRequestEntityTooLarge, code: codeBodyLarge, reason: "the body is too large"}
-	case err != nil:
-		return &refusal{status: http.StatusRequestTimeout, code: codeBodyMissing, reason: "the body did not arrive: " + err.Error()}
-	}
-	q.body = body
-	return nil
-}
-
 // hostname returns a host without its port.
 func hostname(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/transport/fgpool/pool.go
+++ b/internal/transport/fgpool/pool.go
@@ -124,15 +124,16 @@
 }
 
 func (a *Answer) exchange(r Request) error {
-	message := encode(r)
-	if len(message) > inlineBytes {
+	head := encode(r)
+	if len(head)+len(r.Body) > inlineBytes {
 		written := make(chan error, 1)
 		a.written = written
 		go func() {
-			_, err := a.conn.Write(message)
+			message := net.Buffers{head, r.Body}
+			_, err := message.WriteTo(a.conn.Conn)
 			written <- err
 		}()
-	} else if n, err := a.conn.Write(message); err != nil {
+	} else if n, err := a.conn.Write(append(head, r.Body...)); err != nil {
 		if n == 0 {
 			return errors.Join(ErrNotSent, err)
 		}
@@ -158,10 +159,11 @@
 	return ErrLost
 }
 
-// encode writes a request in the form of HTTP/1.1.
+// encode writes the head of a request in the form of HTTP/1.1. There is room for
+// a short body behind it.
 func encode(r Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + min(len(r.Body), inlineBytes))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.URI)
@@ -175,7 +177,6 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
