Tell the starts of an upstream apart, share listener and header code

Cause: an upstream that started again under its old name kept the rest and the faults of the program before. Two listeners that take accepted connections and two lists of hop-by-hop fields stood side by side, and three fields had no reader.

Change: the time of its start belongs to an upstream's identity; fglistener and fgheader serve both processes; the fields are gone.

Test: TestRestartedUpstreamIsNew, seen failing.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -51,9 +51,8 @@
 
 // Options tell a Balancer where it runs.
 type Options struct {
-	Region           string
-	AvailabilityZone string
-	VM               string
+	Region string
+	VM     string
 }
 
 // coldBounds bound the requests of a second at a cold upstream: its own rate
@@ -148,7 +147,7 @@
 		}
 		for _, one := range all {
 			spec := one.Spec()
-			id := spec.ID + "@" + spec.Address
+			id := identity(spec)
 			u := b.upstreams[id]
 			if u == nil {
 				u = &Upstream{hash: xxhash.Sum64String(spec.ID)}
@@ -164,6 +163,12 @@
 	b.state.Store(s)
 }
 
+// identity tells the starts of an upstream apart: one that starts again has none
+// of the faults and requests of before.
+func identity(s *fgsteer.UpstreamSpec) string {
+	return s.ID + "@" + s.Address + "@" + s.Started.Format(time.RFC3339Nano)
+}
+
 // Choice describes a request that needs an upstream.
 type Choice struct {
 	Group string
--- a/internal/coordination/fgaffinity/balancer_test.go
+++ b/internal/coordination/fgaffinity/balancer_test.go
@@ -38,7 +38,7 @@
 }
 
 func view(options ...viewOption) *fgsteer.View {
-	s := fgsteer.ViewSpec{Policy: fgsteer.NewPolicy(fgsteer.PolicySpec{Groups: []fgsteer.GroupSpec{{Name: "g", ColdFor: 3 * time.Second, ColdRate: 7.4}}})}
+	s := fgsteer.ViewSpec{Policy: fgsteer.NewPolicy(fgsteer.PolicySpec{Groups: []fgsteer.GroupSpec{{Name: "g", ColdRate: 7.4}}})}
 	for _, o := range options {
 		o(&s)
 	}
@@ -317,6 +317,32 @@
 	})
 }
 
+// Guards against an upstream that is left alone for what happened before it was
+// started again under its old name.
+func TestRestartedUpstreamIsNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		start := func(_ int, u *fgsteer.UpstreamSpec) { u.Started = began }
+		b := balancer("vm-0", view(upstreams(4, start)))
+		first := choose(t, b, Choice{Object: "o"})
+		for range 4 {
+			b.Done(first, Unreached)
+		}
+		if u := choose(t, b, Choice{Object: "o"}); u == first {
+			t.Error("an upstream that cannot be reached was chosen again")
+		}
+		again := func(_ int, u *fgsteer.UpstreamSpec) {
+			if u.ID == first.Spec().ID {
+				u.Started = began.Add(time.Second)
+			}
+		}
+		b.Update(view(upstreams(4, start, again)))
+		if u := choose(t, b, Choice{Object: "o"}); u.Spec().ID != first.Spec().ID {
+			t.Error("the upstream that was started again does not get its object")
+		}
+	})
+}
+
 // Replays an upstream that is many times slower than the others, and one cold run
 // at an upstream that is well: the first loses its requests for a while, the
 // second keeps its object.
--- a/internal/fgentry/answer.go
+++ b/internal/fgentry/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
 	"github.com/filbertgap/filbertgap/internal/state/fgdedupe"
 	"github.com/filbertgap/filbertgap/internal/transport/fgupstream"
 )
@@ -23,23 +24,10 @@
 	errCallerGone = merry.Sentinel("the caller is gone")
 )
 
-// hopByHop lists the header fields that belong to one connection.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // removeHopByHop removes what belongs to one connection, and the fields by
 // which the VMs talk to each other.
 func removeHopByHop(h http.Header) {
-	for _, value := range h.Values("Connection") {
-		for field := range strings.SplitSeq(value, ",") {
-			h.Del(strings.TrimSpace(field))
-		}
-	}
-	for _, field := range hopByHop {
-		h.Del(field)
-	}
+	fgheader.RemoveHopByHop(h)
 	for field := range h {
 		if strings.HasPrefix(field, headerOwnPrefix) {
 			delete(h, field)
--- a/internal/fggateway/callers.go
+++ b/internal/fggateway/callers.go
@@ -13,6 +13,7 @@
 
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
+	"github.com/filbertgap/filbertgap/internal/transport/fglistener"
 )
 
 // acceptPause separates attempts to accept a connection while that fails, for
@@ -37,7 +38,7 @@
 // callerServer serves the connections that were opened under the same limits.
 type callerServer struct {
 	http  *http.Server
-	conns *handedOver
+	conns *fglistener.Listener
 	ended chan error
 }
 
@@ -62,9 +63,11 @@
 			continue
 		}
 		s := c.server(c.limits())
-		if s == nil || !s.conns.hand(conn) {
+		if s == nil {
 			_ = conn.Close()
+			continue
 		}
+		s.conns.Deliver(conn)
 	}
 }
 
@@ -83,7 +86,7 @@
 	}
 	s := c.servers[l]
 	if s == nil {
-		s = &callerServer{http: newServer(c.handler), conns: newHandedOver(c.listener.Addr()), ended: make(chan error, 1)}
+		s = &callerServer{http: newServer(c.handler), conns: fglistener.New(c.listener.Addr()), ended: make(chan error, 1)}
 		if l.HeaderTimeout > 0 {
 			s.http.ReadHeaderTimeout = l.HeaderTimeout
 		}
@@ -131,44 +134,3 @@
 	}
 	return err
 }
-
-// handedOver is a listener whose connections another one has accepted.
-type handedOver struct {
-	address net.Addr
-	conns   chan net.Conn
-	once    sync.Once
-	closed  chan struct{}
-}
-
-func newHandedOver(a net.Addr) *handedOver {
-	return &handedOver{address: a, conns: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-// hand passes on a connection. It reports false after Close.
-func (h *handedOver) hand(c net.Conn) bool {
-	select {
-	case h.conns <- c:
-		return true
-	case <-h.closed:
-		return false
-	}
-}
-
-// Accept returns the next connection.
-func (h *handedOver) Accept() (net.Conn, error) {
-	select {
-	case c := <-h.conns:
-		return c, nil
-	case <-h.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close ends Accept.
-func (h *handedOver) Close() error {
-	h.once.Do(func() { close(h.closed) })
-	return nil
-}
-
-// Addr returns the address at which connections are accepted.
-func (h *handedOver) Addr() net.Addr { return h.address }
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -151,7 +151,7 @@
 		logs:     newLogs(),
 		meter:    fgquota.New(),
 		balancer: fgaffinity.New(fgaffinity.Options{
-			Region: o.Settings.Self.Region, AvailabilityZone: o.Settings.Self.AvailabilityZone, VM: o.Settings.Self.VM,
+			Region: o.Settings.Self.Region, VM: o.Settings.Self.VM,
 		}),
 	}
 	g.bodies.limit = o.Settings.MemoryBytes / bodyPart
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
@@ -168,23 +169,13 @@
 	return host
 }
 
-// hopByHop lists the header fields that belong to one connection.
-var hopByHop = []string{
-	"Connection", "Content-Length", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// forwardedHeader returns a copy without what belongs to one connection.
+// forwardedHeader returns a copy without what belongs to one connection. The
+// length of the body is written anew, and the body was read whole before.
 func forwardedHeader(h http.Header) http.Header {
 	out := h.Clone()
-	for _, value := range h["Connection"] {
-		for field := range strings.SplitSeq(value, ",") {
-			out.Del(strings.TrimSpace(field))
-		}
-	}
-	for _, field := range hopByHop {
-		delete(out, field)
-	}
+	fgheader.RemoveHopByHop(out)
+	delete(out, "Content-Length")
+	delete(out, "Expect")
 	return out
 }
 
--- a/internal/state/fgsteer/policy.go
+++ b/internal/state/fgsteer/policy.go
@@ -45,9 +45,7 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int
-	// ColdFor is how long an upstream is cold after its start, and ColdRate the
-	// requests per second that a cold one tolerates.
-	ColdFor  time.Duration
+	// ColdRate is the requests per second that a cold upstream tolerates.
 	ColdRate float64
 }
 
--- a/internal/transport/fgpeer/listener.go
+++ b/internal/transport/fgpeer/listener.go
@@ -5,13 +5,14 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
+
+	"github.com/filbertgap/filbertgap/internal/transport/fglistener"
 )
 
 // finishTimeout bounds how long a stopping server sends its last answers.
@@ -42,7 +43,7 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	forwarded := newConnListener(l.Addr())
+	forwarded := fglistener.New(l.Addr())
 	httpServer := &http.Server{Handler: s.options.HTTP, ReadHeaderTimeout: handshakeTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
@@ -76,7 +77,7 @@
 	_ = s.Close()
 }
 
-func (s *Server) serveConn(ctx context.Context, c net.Conn, forwarded *connListener) {
+func (s *Server) serveConn(ctx context.Context, c net.Conn, forwarded *fglistener.Listener) {
 	protocol, err := s.options.Secret.acceptHandshake(c)
 	if err != nil {
 		s.options.Logger.V(1).Info("peer connection refused", "remote", c.RemoteAddr().String(), "error", err.Error())
@@ -87,47 +88,8 @@
 	case ProtocolRPC:
 		_ = s.rpc.ServeOne(ctx, c)
 	case ProtocolHTTP:
-		forwarded.deliver(c)
+		forwarded.Deliver(c)
 	default:
 		_ = c.Close()
 	}
 }
-
-// connListener hands already accepted connections to an http.Server.
-type connListener struct {
-	address net.Addr
-	conns   chan net.Conn
-	done    chan struct{}
-	once    sync.Once
-}
-
-func newConnListener(a net.Addr) *connListener {
-	return &connListener{address: a, conns: make(chan net.Conn), done: make(chan struct{})}
-}
-
-func (l *connListener) deliver(c net.Conn) {
-	select {
-	case l.conns <- c:
-	case <-l.done:
-		_ = c.Close()
-	}
-}
-
-// Accept returns the next delivered connection.
-func (l *connListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close ends Accept. It may be called more than once.
-func (l *connListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
-
-// Addr returns the address of the underlying listener.
-func (l *connListener) Addr() net.Addr { return l.address }
