Log regions that become full or have room again

The weight of a region decides where requests go, and nothing told when it changed. Test: TestFullRegionsAreTold; the operators' page is checked for the lines of regions, crashes and accepted connections.

--- a/internal/coordination/fgaffinity/pressure.go
+++ b/internal/coordination/fgaffinity/pressure.go
@@ -1,7 +1,9 @@
 package fgaffinity
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,3 +111,30 @@
 func (r *regionPressure) faded(now int64) float64 {
 	return r.average * math.Exp(-float64(now-r.at)/float64(pressureFade))
 }
+
+// RegionLoad is the load of a group's upstreams in one region.
+type RegionLoad struct {
+	Group, Region string
+	// Load is the average of requests per slot.
+	Load float64
+	// Weight is what the region's upstreams weigh for requests that may run
+	// elsewhere: 1 if it has room.
+	Weight float64
+}
+
+// RegionLoads returns the loads of all groups and regions, in their order.
+func (b *Balancer) RegionLoads() []RegionLoad {
+	now := int64(time.Since(b.epoch))
+	var all []RegionLoad
+	for name, g := range b.state.Load().groups {
+		g.pressure.mu.Lock()
+		for region, r := range g.pressure.regions {
+			all = append(all, RegionLoad{Group: name, Region: region, Load: r.faded(now), Weight: r.weight()})
+		}
+		g.pressure.mu.Unlock()
+	}
+	slices.SortFunc(all, func(a, b RegionLoad) int {
+		return cmp.Or(cmp.Compare(a.Group, b.Group), cmp.Compare(a.Region, b.Region))
+	})
+	return all
+}
--- a/internal/fgcommand/pages_test.go
+++ b/internal/fgcommand/pages_test.go
@@ -41,6 +41,9 @@
 		{"../fggateway/request.go", `(?m)^\tcode\w+ +code = "([^"]+)"`},
 		{"../fggateway/exchange.go", `logger\.Info\("(copy of the store fetched|gateway heard)"`},
 		{"../fggateway/overdue.go", `logger\.Info\("([^"]+)"`},
+		{"../fggateway/regions.go", `logger\.Info\("([^"]+)"`},
+		{"../fggateway/crash.go", `logger\.Info\("([^"]+)"`},
+		{"../fggateway/callers.go", `logger\.Info\("([^"]+)"`},
 		{"../coordination/fgmirror/mirror.go", `Logger\.Info\("([^"]+)"`},
 		{"gateway.go", `logger\.Info\("([^"]+)"`},
 	}
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -44,6 +44,7 @@
 // exchange tells the other gateways this one's state until the context ends.
 func (g *Gateway) exchange(ctx context.Context, s *fggossip.Socket) error {
 	last := time.Now()
+	var regions regionLines
 	for sequence := uint64(1); ; sequence++ {
 		wait := time.NewTimer(g.exchangeInterval())
 		select {
@@ -55,6 +56,7 @@
 		g.tell(s, sequence, time.Since(last))
 		last = time.Now()
 		g.catchUp(ctx)
+		g.logRegions(&regions)
 	}
 }
 
