Admit small parts of rates in large fleets

Reports came every 2 s there, which is longer than the 0.8 s after which a peer is taken to spend its part unheard, and a hundredth of the tokens of a small workspace is never a whole one.

Change: reports come every 0.6 s at least. A workspace whose demand is below its rate is calm: each gateway may spend two requests between reports, and more by its own demand. Parts below one are rounded by chance. A peer is silent after 1.4 of its intervals. Demand that has ended is reported as none.

--- a/internal/coordination/fgquota/meter.go
+++ b/internal/coordination/fgquota/meter.go
@@ -12,6 +12,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -25,10 +26,24 @@
 	// that its first requests find an allowance.
 	leastDemand = 0.5
 	// silentAfter is how long a peer may be silent before it is taken to spend
-	// its part of each rate unheard.
-	silentAfter = 800 * time.Millisecond
+	// its part of each rate unheard. In a large fleet, whose reports are rare, it is
+	// silentIntervals of them.
+	silentAfter     = 800 * time.Millisecond
+	silentIntervals = 1.4
 	// forgetAfter removes a silent peer that is not registered any more.
 	forgetAfter = 5 * time.Second
+	// A workspace is calm if its demand per second is at most calmDemand of its rate
+	// and calmNoise, calmTokens of its burst are left, and every VM was heard within
+	// calmHeard. The demand of a small workspace varies by chance.
+	calmDemand = 0.8
+	calmNoise  = 4.0
+	calmTokens = 0.3
+	calmHeard  = 1500 * time.Millisecond
+	// calmLeast and calmAhead bound what a VM spends of a calm workspace between
+	// two reports: some requests, and more by its own demand. What a sudden excess
+	// may cost is so bounded where many VMs see it.
+	calmLeast = 2
+	calmAhead = 2
 	// wholeEvery is the number of reports of which one names all uses. A VM that
 	// lost a report hears of it with the next change or then.
 	wholeEvery = 10
@@ -236,6 +251,16 @@
 	return min(max(time.Duration(missing/(l.rate*l.share)*float64(time.Second)), leastWait), mostWait)
 }
 
+// use returns what to report. A demand below the least is reported as none, since
+// it would stand until the next report of all uses.
+func (l *limit) use() Use {
+	u := Use{Workspace: Hash(l.name), Admitted: l.admitted}
+	if l.demand > leastDemand {
+		u.Demand = l.demand
+	}
+	return u
+}
+
 // changed reports whether the others must be told of this VM's use.
 func (l *limit) changed() bool {
 	return l.admitted != l.toldAdmitted || l.demand > leastDemand && math.Abs(l.demand-l.toldDemand) > demandChange*l.toldDemand ||
@@ -260,7 +285,7 @@
 		m.assume(l, now, elapsed)
 		m.renew(l, elapsed)
 		if whole && (l.admitted != 0 || l.demand > leastDemand) || l.changed() {
-			uses = append(uses, Use{Workspace: Hash(l.name), Admitted: l.admitted, Demand: l.demand})
+			uses = append(uses, l.use())
 			l.toldAdmitted, l.toldDemand = l.admitted, l.demand
 		}
 	}
@@ -270,9 +295,10 @@
 // assume spends the rate of peers that have been silent for a while: they may
 // still serve callers.
 func (m *Meter) assume(l *limit, now time.Time, elapsed time.Duration) {
+	silent := max(silentAfter, time.Duration(silentIntervals*float64(elapsed)))
 	for _, p := range m.peers {
 		u := p.uses[Hash(l.name)]
-		if u == nil || now.Sub(p.heard) < silentAfter {
+		if u == nil || now.Sub(p.heard) < silent {
 			continue
 		}
 		spent := min(u.demand, l.rate*u.demand/max(m.totalDemand(l), leastDemand)) * elapsed.Seconds()
@@ -303,15 +329,50 @@
 	total := m.totalDemand(l)
 	l.share = max(l.demand, leastDemand) / total
 	l.unseen = unseenIntervals*total*(1-l.share)*elapsed.Seconds() + float64(m.members-1)
-	l.allowance = l.share * l.tokens
+	l.allowance = wholePart(l.share * l.tokens)
+	if m.isCalm(l) {
+		l.allowance = max(l.allowance, calmLeast+calmAhead*l.demand*elapsed.Seconds())
+	}
 	switch n := float64(m.members); {
-	case l.tokens >= n/2.5:
+	case l.tokens >= n/2:
 		l.allowance = max(2, l.allowance)
 	case l.tokens >= max(1, n/4):
 		l.allowance = max(1, l.allowance)
 	}
 }
 
+// isCalm reports whether the demand of all VMs, each of which was heard lately,
+// is well below the rate. No part of the tokens needs to be kept for the others
+// then: were all to ask for more at once, they would hear of it after a report,
+// and what was spent too much is missing from the tokens.
+func (m *Meter) isCalm(l *limit) bool {
+	if len(m.peers) < m.members-1 || l.tokens < calmTokens*l.burst {
+		return false
+	}
+	total, now, hash := l.demand, time.Now(), Hash(l.name)
+	for _, p := range m.peers {
+		if now.Sub(p.heard) >= calmHeard {
+			return false
+		}
+		if u := p.uses[hash]; u != nil {
+			total += u.demand
+		}
+	}
+	return total <= calmDemand*l.rate+calmNoise
+}
+
+// wholePart rounds an allowance below one up or down by chance. A VM of a large
+// fleet would otherwise never have a whole one.
+func wholePart(allowance float64) float64 {
+	if allowance <= 0 || allowance >= 1 {
+		return allowance
+	}
+	if rand.Float64() < allowance {
+		return 1
+	}
+	return allowance
+}
+
 // Hear takes in another VM's report.
 func (m *Meter) Hear(vm string, incarnation, sequence uint64, uses []Use) {
 	m.mu.Lock()
--- a/internal/coordination/fgquota/meter_test.go
+++ b/internal/coordination/fgquota/meter_test.go
@@ -15,9 +15,10 @@
 	testWindow = 5 * time.Second
 	testOver   = 0.1
 	// tellEvery is how often the gateways of the simulated fleet report, and
-	// tellMembers their number from which on they report less often.
+	// tellMembers their number from which on they report less often, up to tellMost.
 	tellEvery   = 200 * time.Millisecond
 	tellMembers = 10
+	tellMost    = 600 * time.Millisecond
 	step        = 10 * time.Millisecond
 )
 
@@ -72,7 +73,7 @@
 func (f *fleet) advance() {
 	time.Sleep(step)
 	now := time.Now()
-	if now.Sub(f.told) >= tellEvery*time.Duration(max(len(f.meters), tellMembers))/tellMembers {
+	if now.Sub(f.told) >= min(tellEvery*time.Duration(max(len(f.meters), tellMembers))/tellMembers, tellMost) {
 		f.counter++
 		for i, m := range f.meters {
 			uses := m.Tick(now.Sub(f.told))
@@ -113,6 +114,7 @@
 		{"large, moving every two seconds", 7, 132, 132, 990, 55 * time.Millisecond, func(_ *rand.Rand, at time.Duration, n int) int { return int(at/(2*time.Second)) % n }, -1},
 		{"small, even", 7, 10, 10, 75, 55 * time.Millisecond, func(r *rand.Rand, _ time.Duration, n int) int { return r.IntN(n) }, -1},
 		{"many VMs", 28, 20, 20, 300, 35 * time.Millisecond, func(r *rand.Rand, _ time.Duration, n int) int { return r.IntN(n) }, -1},
+		{"large on a hundred VMs", 100, 400, 400, 1900, 55 * time.Millisecond, func(r *rand.Rand, _ time.Duration, n int) int { return r.IntN(n) }, -1},
 		{"large on many VMs", 28, 132, 132, 990, 55 * time.Millisecond, func(r *rand.Rand, _ time.Duration, n int) int { return r.IntN(n) }, -1},
 		{"many VMs, moving every two seconds", 28, 60, 60, 450, 55 * time.Millisecond, func(_ *rand.Rand, at time.Duration, n int) int { return int(at/(2*time.Second)) % n }, -1},
 		{"one VM cut off", 7, 132, 132, 990, 55 * time.Millisecond, func(r *rand.Rand, _ time.Duration, n int) int { return r.IntN(n) }, 3},
@@ -162,6 +164,11 @@
 		{"small", 7, 10, 10},
 		{"tiny on many VMs", 28, 5, 5},
 		{"large on many VMs", 28, 132, 132},
+		{"large on a hundred VMs", 100, 400, 400},
+		{"large on 300 VMs", 300, 1200, 1200},
+		{"small on many VMs", 28, 20, 20},
+		{"small on a hundred VMs", 100, 20, 20},
+		{"tiny on a hundred VMs", 100, 9, 9},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -17,8 +17,10 @@
 	// exceeded by at most what is asked for in this time.
 	exchangeEvery = 200 * time.Millisecond
 	// exchangeMembers is the number of gateways up to which this interval holds;
-	// with more it grows, so that the work of each stays the same.
+	// with more it grows, so that the work of each stays the same, up to
+	// exchangeMost. A workspace's excess over its rate is known no sooner.
 	exchangeMembers = 10
+	exchangeMost    = 600 * time.Millisecond
 	// lostAfter is how long a gateway may be silent before look-ups leave it out.
 	lostAfter = 1200 * time.Millisecond
 	// behindAfter is how long this gateway may lag behind a peer's copy of the
@@ -65,7 +67,7 @@
 	if v := g.mirror.View(); v != nil {
 		n = len(v.Members())
 	}
-	return exchangeEvery * time.Duration(max(n, exchangeMembers)) / exchangeMembers
+	return min(exchangeEvery*time.Duration(max(n, exchangeMembers))/exchangeMembers, exchangeMost)
 }
 
 // tell sends this gateway's state to the others.
