--- a/internal/coordination/fgquota/meter.go
+++ b/internal/coordination/fgquota/meter.go
@@ -329,7 +329,10 @@
 	total := m.totalDemand(l)
 	l.share = max(l.demand, leastDemand) / total
 	l.unseen = unseenIntervals*total*(1-l.share)*elapsed.Seconds() + float64(m.members-1)
-	l.allowance = wholePart(l.share * l.tokens)
+	l.allowance = l.share * l.tokens
+	if l.burst < float64(m.members)/2 {
+		l.allowance = wholePart(l.allowance)
+	}
 	if m.isCalm(l) {
 		l.allowance = max(l.allowance, calmLeast+calmAhead*l.demand*elapsed.Seconds())
 	}
@@ -361,8 +364,8 @@
 	return total <= calmDemand*l.rate+calmNoise
 }
 
-// wholePart rounds an allowance below one up or down by chance. A VM of a large
-// fleet would otherwise never have a whole one.
+// wholePart rounds an allowance below one up by chance. Where the VMs are more
+// than the tokens, none would otherwise ever have a whole one.
 func wholePart(allowance float64) float64 {
 	if allowance <= 0 || allowance >= 1 {
 		return allowance
