Fetch a peer's copy of the store only when this gateway does not follow

Change: it is behind while it lacks the revision that it heard of first, for 0.4 s beyond its own pause.

Test: TestGatewayThatFollowsIsNotBehind (not run on the code before, which had no such question to ask).

--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -171,11 +171,11 @@
 		return nil
 	}
 	m.apply(events, revision)
-	return fgtimer.Wait(ctx, m.batchWait())
+	return fgtimer.Wait(ctx, m.BatchWait())
 }
 
-// batchWait returns the time between an answer of the watch and the next call.
-func (m *Mirror) batchWait() time.Duration {
+// BatchWait returns the time between an answer of the watch and the next call.
+func (m *Mirror) BatchWait() time.Duration {
 	v := m.View()
 	if v == nil {
 		return batchLeast
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -23,18 +23,20 @@
 	exchangeMost    = 600 * time.Millisecond
 	// lostAfter is how long a gateway may be silent before look-ups leave it out.
 	lostAfter = 1200 * time.Millisecond
-	// behindAfter is how long this gateway may lag behind a peer's copy of the
-	// store before it fetches that copy.
+	// behindAfter is how long this gateway may lack a revision that a peer has,
+	// beyond its own pause between two watches, before it fetches the peer's copy.
 	behindAfter = 400 * time.Millisecond
 )
 
 // peers is what this gateway heard from the others.
 type peers struct {
-	mu     sync.Mutex
-	heard  map[string]peerState
-	first  time.Time
-	behind time.Time
-	source string
+	mu    sync.Mutex
+	heard map[string]peerState
+	first time.Time
+	// behind is since when source has had a revision that this gateway lacks.
+	behind         time.Time
+	behindRevision uint64
+	source         string
 }
 
 type peerState struct {
@@ -125,13 +127,12 @@
 		g.logger.Info("gateway heard", "vm", s.GetVm(), "incarnation", s.GetIncarnation(), "leaving", s.GetLeaving())
 	}
 	p.heard[s.GetVm()] = peerState{incarnation: s.GetIncarnation(), at: now, leaving: s.GetLeaving()}
-	switch {
-	case s.GetStoreRevision() <= g.mirror.Revision():
-		if p.source == s.GetVm() {
-			p.behind = time.Time{}
-		}
-	case p.behind.IsZero():
-		p.behind, p.source = now, s.GetVm()
+	own := g.mirror.Revision()
+	if own >= p.behindRevision {
+		p.behind = time.Time{}
+	}
+	if s.GetStoreRevision() > own && p.behind.IsZero() {
+		p.behind, p.behindRevision, p.source = now, s.GetStoreRevision(), s.GetVm()
 	}
 }
 
@@ -160,21 +161,24 @@
 	return !s.leaving && time.Since(s.at) < lost
 }
 
+// behindPeer returns a peer that has had a newer copy of the store for a while.
+func (g *Gateway) behindPeer() (vm string, behind bool) {
+	own, wait := g.mirror.Revision(), behindAfter+g.mirror.BatchWait()
+	p := &g.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.source, !p.behind.IsZero() && own < p.behindRevision && time.Since(p.behind) > wait
+}
+
 // catchUp fetches a peer's copy of the store when the store turns this gateway
 // away while others follow it.
 func (g *Gateway) catchUp(ctx context.Context) {
-	p := &g.peers
-	p.mu.Lock()
-	due := !p.behind.IsZero() && time.Since(p.behind) > behindAfter
-	source := p.source
-	if due {
-		p.behind = time.Time{}
-	}
-	p.mu.Unlock()
+	source, behind := g.behindPeer()
 	v := g.mirror.View()
-	if !due || v == nil {
+	if !behind || v == nil {
 		return
 	}
+	g.peers.forgetBehind()
 	for _, m := range v.Members() {
 		if m.VM == source {
 			g.fetch(ctx, m.PeerAddress, source)
@@ -182,6 +186,13 @@
 	}
 }
 
+// forgetBehind waits again before the next fetch.
+func (p *peers) forgetBehind() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.behind = time.Time{}
+}
+
 func (g *Gateway) fetch(ctx context.Context, address, source string) {
 	before := g.mirror.Revision()
 	a, err := fggossip.Fetch(ctx, address, before)
--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
 )
@@ -876,3 +877,25 @@
 		}
 	}
 }
+
+// Guards against gateways that fetch whole copies of the store from each other
+// while all follow it: one that has just reached a revision is always behind a
+// peer that is a moment ahead.
+func TestGatewayThatFollowsIsNotBehind(t *testing.T) {
+	w := newWorld(t)
+	g := w.gateway("vm-1", 0)
+	for range 12 {
+		next := g.mirror.Revision() + 1
+		g.hear(&fgwire.GatewayState{Vm: "vm-2", StoreRevision: next})
+		if source, behind := g.behindPeer(); behind {
+			t.Fatalf("behind %s", source)
+		}
+		w.put("up/u1", fgsteer.UpstreamSpec{ID: "u1", Group: "g", Address: "127.0.0.1:1", Slots: 4, Region: "east"})
+		w.eventually("the change is known", func() bool { return g.mirror.Revision() >= next })
+	}
+	g.hear(&fgwire.GatewayState{Vm: "vm-2", StoreRevision: g.mirror.Revision() + 5})
+	w.eventually("a gateway that does not follow is behind", func() bool {
+		source, behind := g.behindPeer()
+		return behind && source == "vm-2"
+	})
+}
