Change the weight of a full region slowly

Cause: read again, the weight of a region could fall in a second, and a burst in one region so moved 0.21 of the requests to another within two seconds; operators declare 0.15.

Change: a weight changes by 18% of itself in a second at most.

Test: TestWeightsOfRegionsChangeSlowly, seen failing (0.210).

--- a/internal/coordination/fgaffinity/load_test.go
+++ b/internal/coordination/fgaffinity/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -228,3 +229,36 @@
 	}
 	return 1
 }
+
+// Guards against a burst that moves more of a region's requests to other regions
+// within two seconds than operators declare: 0.15 of them.
+func TestWeightsOfRegionsChangeSlowly(t *testing.T) {
+	var p pressure
+	regions := []*regionPressure{p.region("a", 100), p.region("b", 100)}
+	// share is the part of the requests that run in the first region.
+	share := func() float64 { return regions[0].weight() / (regions[0].weight() + regions[1].weight()) }
+	const step = 50 * time.Millisecond
+	var shares []float64
+	for i := range int(time.Minute / step) {
+		now := int64(time.Hour) + int64(i)*int64(step)
+		load := 0.3
+		if i*int(step) > int(5*time.Second) && i*int(step) < int(25*time.Second) {
+			load = 8
+		}
+		p.add(regions[0], load, now)
+		p.add(regions[1], 0.3, now)
+		shares = append(shares, share())
+	}
+	window := int(2 * time.Second / step)
+	for i := window; i < len(shares); i++ {
+		if moved := math.Abs(shares[i] - shares[i-window]); moved > 0.15 {
+			t.Fatalf("%.3f of the requests moved in the 2 s before %v", moved, time.Duration(i)*step)
+		}
+	}
+	if least := slices.Min(shares); least > 0.1 {
+		t.Errorf("the full region keeps %.3f of the requests", least)
+	}
+	if last := shares[len(shares)-1]; last < 0.45 {
+		t.Errorf("the region has %.3f of the requests again", last)
+	}
+}
--- a/internal/coordination/fgaffinity/pressure.go
+++ b/internal/coordination/fgaffinity/pressure.go
@@ -24,6 +24,10 @@
 	// lost nearly all.
 	fullAverage  = 0.8
 	pressureSpan = 1.0
+	// reliefRate is the most by which a weight changes in a second, relative to
+	// itself. Of a region's requests at most a tenth so move to another region in
+	// two seconds; operators declare 0.15.
+	reliefRate = 0.18
 	// leastRelief is the part of its weight that such a region keeps, so that its
 	// load is still measured.
 	leastRelief = 0.05
@@ -87,14 +91,16 @@
 	weight := 1 - math.Exp(-float64(max(0, now-r.at))/float64(pressureWindow))
 	r.average += weight * (use - r.average)
 	r.at = now
-	if now-p.computed >= int64(pressureEvery) {
+	if elapsed := now - p.computed; elapsed >= int64(pressureEvery) {
 		p.computed = now
-		p.compute(now)
+		p.compute(now, time.Duration(elapsed))
 	}
 }
 
-// compute sets the weights of all regions.
-func (p *pressure) compute(now int64) {
+// compute sets the weights of all regions. Elapsed is the time since the last
+// call.
+func (p *pressure) compute(now int64, elapsed time.Duration) {
+	step := math.Exp(reliefRate * min(elapsed, time.Second).Seconds())
 	slots, load := 0, 0.0
 	for _, r := range p.regions {
 		slots += r.slots
@@ -103,7 +109,8 @@
 	least := max(fullAverage, load/float64(max(1, slots)))
 	for _, r := range p.regions {
 		excess := (r.faded(now) - least) / pressureSpan
-		r.relief.Store(math.Float64bits(min(1, max(leastRelief, 1-excess))))
+		wanted := min(1, max(leastRelief, 1-excess))
+		r.relief.Store(math.Float64bits(min(r.weight()*step, max(r.weight()/step, wanted))))
 	}
 }
 
