Do not take lost answers for a full region

Each missing answer counted as a queue of four per slot in the region's average.

Change: only what upstreams tell counts for their region.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -321,18 +321,7 @@
 // Done ends a request at an upstream.
 func (b *Balancer) Done(u *Upstream, r Result) {
 	u.inFlight.Add(-1)
-	now := int64(time.Since(b.epoch))
-	u.observe(r, now)
-	if r == Silent {
-		b.press(u, silentPressure, now)
-	}
-}
-
-// press takes in the load per slot of an upstream for its region.
-func (b *Balancer) press(u *Upstream, use float64, now int64) {
-	if g := b.state.Load().groups[u.Spec().Group]; g != nil {
-		g.pressure.add(u.region.Load(), use, now)
-	}
+	u.observe(r, int64(time.Since(b.epoch)))
 }
 
 // Chill records that an upstream says that it is cold for a while.
@@ -340,9 +329,13 @@
 	u.coldUntil.Store(int64(time.Since(b.epoch) + d))
 }
 
-// Load takes in an upstream's own account of the requests it has.
+// Load takes in an upstream's own account of the requests it has. Only such
+// accounts count for the load of its region: an answer that does not come may have
+// been lost.
 func (b *Balancer) Load(u *Upstream, total int) {
 	now := int64(time.Since(b.epoch))
 	u.observeLoad(total, now)
-	b.press(u, float64(total)/float64(u.Spec().Slots), now)
+	if g := b.state.Load().groups[u.Spec().Group]; g != nil {
+		g.pressure.add(u.region.Load(), float64(total)/float64(u.Spec().Slots), now)
+	}
 }
--- a/internal/coordination/fgaffinity/load_test.go
+++ b/internal/coordination/fgaffinity/load_test.go
@@ -262,3 +262,34 @@
 		t.Errorf("the region has %.3f of the requests again", last)
 	}
 }
+
+// Replays upstreams of a region that lose answers, as in a recorded incident.
+// The region is not full, and keeps its objects.
+func TestLostAnswersDoNotFillARegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balancer("vm-0", view(upstreams(8)))
+		lost := 0
+		for i := range 4000 {
+			time.Sleep(5 * time.Millisecond)
+			u, err := b.Choose(Choice{Group: "g", Object: fmt.Sprint(i % 64), Room: testRoom})
+			if err != nil {
+				continue
+			}
+			if u.Spec().Region == "east" && i%2 == 0 {
+				lost++
+				b.Done(u, Silent)
+				continue
+			}
+			b.Load(u, 1)
+			b.Done(u, Answered)
+		}
+		if lost < 20 {
+			t.Errorf("%d answers were lost", lost)
+		}
+		for _, r := range b.RegionLoads() {
+			if r.Weight < 1 {
+				t.Errorf("region %s weighs %.2f at a load of %.2f", r.Region, r.Weight, r.Load)
+			}
+		}
+	})
+}
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -25,9 +25,6 @@
 	// no answer came in time. It says nothing then, and most likely has a queue in
 	// which each request waits until its time has run out.
 	silentLoad = 8
-	// silentPressure is the load for each slot that such an upstream counts for in
-	// the average of its region: that of a full queue.
-	silentPressure = 4
 	// failureWeight is the weight of the newest request in the share of failures.
 	failureWeight = 0.1
 	// failureShare is the share of failed requests above which an upstream is
