Keep to the even part of a rate while other gateways are not heard

Gateway 1 had a deaf link to the store and learnt 3.1 s late that gateway 2 had started again (26:42.2, told from 26:45.5 on). Gateway 2 knew of its registration, not what it spent, and by the rule for tokens that nobody else will spend took nearly all of the rate (94 of 155).

Change: the rule holds only while most gateways are heard, as for calm workspaces.

Ruled out: the pause of gateway 0, which began anew without tokens.

Test: TestUnheardVMsKeepTheirPart, seen failing (23 of 26 tokens, at most 10 wanted).

--- a/internal/coordination/fgquota/calm.go
+++ b/internal/coordination/fgquota/calm.go
@@ -28,19 +28,28 @@
 // then: were all to ask for more at once, they would hear of it after a report,
 // and what was spent too much is missing from the tokens.
 func (m *Meter) isCalm(l *limit) bool {
-	if l.tokens < calmTokens*l.burst {
+	if l.tokens < calmTokens*l.burst || !m.hearsMost() {
 		return false
 	}
-	total, now, hash, heard := l.demand, time.Now(), Hash(l.name), 1
+	total, hash := l.demand, Hash(l.name)
 	for _, p := range m.peers {
-		if now.Sub(p.heard) < calmHeard {
-			heard++
-		}
 		if u := p.uses[hash]; u != nil {
 			total += u.demand
 		}
 	}
-	return float64(m.members-heard) <= calmSilent*float64(m.members) && total <= calmDemand*l.rate+calmNoise
+	return total <= calmDemand*l.rate+calmNoise
+}
+
+// hearsMost reports whether most VMs were heard lately. What the others spend
+// beyond their parts is not known.
+func (m *Meter) hearsMost() bool {
+	now, heard := time.Now(), 1
+	for _, p := range m.peers {
+		if now.Sub(p.heard) < calmHeard {
+			heard++
+		}
+	}
+	return float64(m.members-heard) <= calmSilent*float64(m.members)
 }
 
 // wholePart rounds an allowance below one up by chance. Where the VMs are more
--- a/internal/coordination/fgquota/meter.go
+++ b/internal/coordination/fgquota/meter.go
@@ -82,7 +82,8 @@
 	asked    float64
 	// share is this VM's part of the demand.
 	share float64
-	// unseen is what the other VMs may spend before this one hears of it.
+	// unseen is what the other VMs may spend before this one hears of it; without
+	// bound if it hears too few of them.
 	unseen float64
 	// toldAdmitted and toldDemand are what was last reported.
 	toldAdmitted int64
@@ -316,7 +317,10 @@
 func (m *Meter) renew(l *limit, elapsed time.Duration) {
 	total := m.totalDemand(l)
 	l.share = max(l.demand, leastDemand) / total
-	l.unseen = unseenIntervals*total*(1-l.share)*elapsed.Seconds() + float64(m.members-1)
+	l.unseen = math.Inf(1)
+	if m.hearsMost() {
+		l.unseen = unseenIntervals*total*(1-l.share)*elapsed.Seconds() + float64(m.members-1)
+	}
 	l.allowance = l.share * l.tokens
 	if l.burst < float64(m.members)/2 {
 		l.allowance = wholePart(l.allowance)
--- a/internal/coordination/fgquota/meter_test.go
+++ b/internal/coordination/fgquota/meter_test.go
@@ -442,3 +442,28 @@
 		}
 	})
 }
+
+// Guards against a VM that spends the whole of a rate while another one, which it
+// does not hear, spends it as well (soak seed 681337).
+func TestUnheardVMsKeepTheirPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rate, vms = 20, 3
+		f := newFleet(vms, 0, fgsteer.WorkspaceSpec{Name: "w", Rate: rate, Burst: rate})
+		for i := range vms {
+			f.silent[i] = true
+		}
+		for began := time.Now(); time.Since(began) < 5*time.Second; {
+			f.advance()
+		}
+		m := f.meters[0]
+		tokens, admitted := m.limits["w"].tokens, 0
+		for range 10 * rate {
+			if m.Admit("w").Allowed {
+				admitted++
+			}
+		}
+		if most := tokens/vms + 1; float64(admitted) > most {
+			t.Errorf("%d of %.0f tokens spent at once by one of %d VMs, want at most %.0f", admitted, tokens, vms, most)
+		}
+	})
+}
