--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -35,6 +35,8 @@
 	// retryDelay is the minimum time between calls to a store that fails. Run adds
 	// up to the same time at random.
 	retryDelay = 250 * time.Millisecond
+	// maxWarnings bounds how many different warnings about policies are logged.
+	maxWarnings = 100
 	// deletionGrace is how long entries that were deleted during an outage of the
 	// store are kept after it ends. Their owners register again within about 2 s.
 	deletionGrace = 2 * time.Second
@@ -58,7 +60,8 @@
 	Feed   fgstore.Feed
 	Codec  Codec
 	Logger logr.Logger
-	// Publish is called with each new view. Calls do not overlap.
+	// Publish is called with each new view before View returns it, so that whoever
+	// sees a view finds it applied. Calls do not overlap.
 	Publish func(*fgsteer.View)
 }
 
@@ -88,10 +91,12 @@
 	mu sync.Mutex
 	// unreachable is set while calls to the store fail. graceEnd is deletionGrace
 	// after the end of the last outage.
-	unreachable    bool
-	graceEnd       time.Time
-	entries        map[string]*entry
-	policy         *fgsteer.Policy
+	unreachable bool
+	graceEnd    time.Time
+	entries     map[string]*entry
+	policy      *fgsteer.Policy
+	// warned holds the warnings about policies that were logged.
+	warned         map[string]bool
 	revision       uint64
 	republishTimer *time.Timer
 }
@@ -351,6 +356,7 @@
 		case e.policy != nil:
 			if m.policy == nil || e.policy.Version() != m.policy.Version() {
 				m.options.Logger.Info("policy applied", "version", e.policy.Version(), "revision", e.value.Revision)
+				m.logWarnings(e.policy)
 			}
 			m.policy = e.policy
 		case e.upstream != nil:
@@ -363,13 +369,28 @@
 	}
 	spec.Policy = m.policy
 	v := fgsteer.NewView(spec)
-	m.view.Store(v)
 	if m.options.Publish != nil {
 		m.options.Publish(v)
 	}
+	m.view.Store(v)
 	m.scheduleRepublish(republishAfter)
 }
 
+// logWarnings logs each warning about a policy once, as operators may keep what
+// causes it in all later versions. m.mu is held.
+func (m *Mirror) logWarnings(p *fgsteer.Policy) {
+	for _, w := range p.Warnings() {
+		if m.warned[w] || len(m.warned) >= maxWarnings {
+			continue
+		}
+		if m.warned == nil {
+			m.warned = map[string]bool{}
+		}
+		m.warned[w] = true
+		m.options.Logger.Info("policy is only partly understood", "version", p.Version(), "warning", w)
+	}
+}
+
 // scheduleRepublish publishes again when the last pending deletion is due.
 func (m *Mirror) scheduleRepublish(after time.Duration) {
 	if after <= 0 {
--- a/internal/coordination/fgmirror/mirror_test.go
+++ b/internal/coordination/fgmirror/mirror_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
@@ -307,3 +308,71 @@
 		}
 	})
 }
+
+// Guards against a view that is visible before Publish has applied it: a gateway
+// that has just started would be ready while its balancer has no upstreams.
+func TestViewIsAppliedBeforeItIsVisible(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fgstandin.NewFeed()
+		f.Put("up/a", "")
+		published := 0
+		var m *Mirror
+		m = New(Options{Feed: f, Codec: fakeCodec{}, Logger: logr.Discard(), Publish: func(v *fgsteer.View) {
+			published++
+			if m.View() == v {
+				t.Error("the view is visible while it is being applied")
+			}
+		}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- m.Run(ctx) }()
+		synctest.Wait()
+		f.Put("up/b", "")
+		waitForBatch()
+		expectUpstreams(t, m, "a", "b")
+		if published != 2 {
+			t.Errorf("%d views were published, want 2", published)
+		}
+		cancel()
+		<-done
+	})
+}
+
+// Guards against a warning about the policy that operators do not see, or see again
+// with each version.
+func TestWarningsAreLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fgstandin.NewFeed()
+		var lines []string
+		m := New(Options{Feed: f, Codec: warningCodec{}, Logger: funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- m.Run(ctx) }()
+		for i := range 3 {
+			f.Put("policy", strings.Repeat("x", i+1))
+			waitForBatch()
+		}
+		cancel()
+		<-done
+		n := 0
+		for _, line := range lines {
+			if strings.Contains(line, "policy is only partly understood") && strings.Contains(line, "unknown kind") {
+				n++
+			}
+		}
+		if n != 1 || m.View().Policy().Version() != 3 {
+			t.Errorf("%d lines about the warning in version %d: %q", n, m.View().Policy().Version(), lines)
+		}
+	})
+}
+
+// warningCodec decodes policies with a warning.
+type warningCodec struct{ fakeCodec }
+
+func (c warningCodec) Policy(key string, data []byte) (*fgsteer.Policy, bool, error) {
+	p, ok, err := c.fakeCodec.Policy(key, data)
+	if !ok || err != nil {
+		return p, ok, err
+	}
+	return fgsteer.NewPolicy(fgsteer.PolicySpec{Version: p.Version(), Warnings: []string{"unknown kind"}}), true, nil
+}
--- a/internal/state/fgsteer/policy.go
+++ b/internal/state/fgsteer/policy.go
@@ -79,6 +79,9 @@
 	Groups     []GroupSpec
 	Workspaces []WorkspaceSpec
 	Limits     CallerLimits
+	// Warnings describe what was not understood of the operators' declaration and
+	// how it is treated.
+	Warnings []string
 }
 
 // Policy is a PolicySpec with indexes for look-ups. It is immutable.
@@ -126,6 +129,10 @@
 // Limits returns the limits for callers.
 func (p *Policy) Limits() CallerLimits { return p.spec.Limits }
 
+// Warnings describe what was not understood of the declaration and how it is
+// treated.
+func (p *Policy) Warnings() []string { return p.spec.Warnings }
+
 // Route returns the route of a host with the longest matching path prefix.
 func (p *Policy) Route(host, path string) (*RouteSpec, bool) {
 	for _, r := range p.routesByHost[host] {
