Bound the heads of responses, and answer what was accepted before a stop

Now 64 KiB (--max-response-header-bytes); more, or bytes that are no response, close the connection, count as result malformed for the upstream and are answered 502, may have run. - A refusal without an id was accepted on a connection that had carried an earlier request: a late second copy of it said of the next, running request that it had not run. The queue is emptied, then keep-alives end, and the server is closed when no connection carries a request. The entry stops in the same way. - To a caller of HTTP/1.0 a response without a length that broke off looked complete: its connection is now reset.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 fuzz:
 	go test -run '^$$' -fuzz FuzzScrub -fuzztime 10s -parallel 4 ./internal/protocol/fgkey
 	go test -run '^$$' -fuzz FuzzBody -fuzztime 10s -parallel 4 ./internal/protocol/fgkey
+	go test -run '^$$' -fuzz FuzzResponse -fuzztime 10s -parallel 4 ./internal/transport/fgpool
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 10s -parallel 4 ./pkg/fgapi
 
 # Needs protoc; the generated code is committed, so that a build does not.
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -53,7 +53,8 @@
 	Shed
 	// Unreached means that no connection could be established.
 	Unreached
-	// Lost means that the connection broke or the response was invalid.
+	// Lost means that the connection broke, or that the response is truncated or
+	// unsigned.
 	Lost
 	// Replaced means that another program has the upstream's address.
 	Replaced
@@ -61,11 +62,13 @@
 	Left
 	// Silent means that no response arrived in time.
 	Silent
+	// Malformed means that the upstream sent bytes that are not a response.
+	Malformed
 )
 
 // String returns the result's label value in metrics.
 func (r Result) String() string {
-	names := [...]string{Answered: "answered", Failed: "failed", Shed: "shed", Unreached: "unreached", Lost: "lost", Replaced: "replaced", Left: "left", Silent: "silent"}
+	names := [...]string{Answered: "answered", Failed: "failed", Shed: "shed", Unreached: "unreached", Lost: "lost", Replaced: "replaced", Left: "left", Silent: "silent", Malformed: "malformed"}
 	if int(r) < len(names) {
 		return names[r]
 	}
@@ -135,7 +138,7 @@
 		return
 	case Unreached, Replaced:
 		u.backOff(now)
-	case Failed, Shed, Lost:
+	case Failed, Shed, Lost, Malformed:
 	}
 	u.failureRate += failureWeight * (failure - u.failureRate)
 	if u.failureRate > maxFailureRate {
--- a/internal/fgcommand/gateway.go
+++ b/internal/fgcommand/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/filbertgap/filbertgap/internal/fggateway"
 	"github.com/filbertgap/filbertgap/internal/fglog"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
+	"github.com/filbertgap/filbertgap/internal/transport/fgpool"
 	fgadapter "github.com/filbertgap/filbertgap/platform"
 )
 
@@ -28,9 +29,16 @@
 	gcPercent = 200
 )
 
+// The range of --max-response-header-bytes.
+const (
+	minResponseHeaderBytes = 1 << 10
+	maxResponseHeaderBytes = 1 << 20
+)
+
 func newGateway() *cobra.Command {
 	var path string
 	var checkOnly bool
+	var headerBytes int
 	cmd := &cobra.Command{
 		Use:   "gateway",
 		Short: "Run one gateway on the users' platform",
@@ -43,22 +51,26 @@
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
 			}
+			if headerBytes < minResponseHeaderBytes || headerBytes > maxResponseHeaderBytes {
+				return fmt.Errorf("%w: --max-response-header-bytes is %d; accepted is %d to %d", errUsage, headerBytes, minResponseHeaderBytes, maxResponseHeaderBytes)
+			}
 			if checkOnly {
 				_, err := fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
 				return err
 			}
-			return runGateway(cmd, path, s)
+			return runGateway(cmd, path, s, headerBytes)
 		},
 	}
 	f := cmd.Flags()
 	f.StringVar(&path, "settings", os.Getenv(fgadapter.SettingsVariable), "path of the platform's settings file")
 	f.BoolVar(&checkOnly, "check", false, "check the settings and exit")
+	f.IntVar(&headerBytes, "max-response-header-bytes", fgpool.DefaultMaxHeadBytes, "size of the largest head of an upstream's response, in bytes; a connection with a larger one is closed")
 	return cmd
 }
 
 // runGateway runs a gateway until the command's context ends. The log writer and
 // the settings watch run until the gateway has stopped.
-func runGateway(cmd *cobra.Command, path string, s fgadapter.Settings) error {
+func runGateway(cmd *cobra.Command, path string, s fgadapter.Settings, headerBytes int) error {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
@@ -66,8 +78,10 @@
 	w := fglog.NewWriter(os.Stdout)
 	logger := newLogger(w)
 	codec := fgadapter.Codec{Regions: s.Regions}
+	settings := gatewaySettings(s)
+	settings.MaxResponseHeaderBytes = headerBytes
 	g := fggateway.New(fggateway.Options{
-		Settings: gatewaySettings(s), Feed: fgadapter.NewStore(s.StoreAddress), Codec: codec, EncodeMember: codec.EncodeMember,
+		Settings: settings, Feed: fgadapter.NewStore(s.StoreAddress), Codec: codec, EncodeMember: codec.EncodeMember,
 		Dialect: fgadapter.Dialect{}, Logger: logger, DroppedLines: w.Dropped,
 	})
 	if err := g.Listen(); err != nil {
--- a/internal/fgentry/caller.go
+++ b/internal/fgentry/caller.go
@@ -17,6 +17,7 @@
 	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
 	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
+	"github.com/filbertgap/filbertgap/internal/transport/fglistener"
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
 )
 
@@ -107,6 +108,7 @@
 	case errors.Is(err, errTruncatedResponse), errors.Is(err, errCallerDisconnected):
 		// Closes the caller's connection, so that a truncated response does not
 		// look complete.
+		fglistener.ResetIfUnframed(r)
 		panic(http.ErrAbortHandler)
 	default:
 		e.refuse(w, r, c, e.correctOutcome(c, err))
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
 	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
+	"github.com/filbertgap/filbertgap/internal/transport/fglistener"
 	"github.com/filbertgap/filbertgap/internal/transport/fgpeer"
 	"github.com/filbertgap/filbertgap/internal/transport/fgupstream"
 )
@@ -56,6 +57,7 @@
 	limits      *limits
 	requestState
 	listeners      listeners
+	callerConns    fglistener.Connections
 	vmLister       fgstore.VMLister
 	freshness      *freshness
 	keyedRequests  keyTracker
@@ -75,6 +77,8 @@
 
 type listeners struct {
 	caller, peer, operator, metrics net.Listener
+	// callerQueue is the listener under caller, which may add TLS.
+	callerQueue *fglistener.Draining
 }
 
 // New returns an entry that uses the given platform. Nothing runs until Run is
@@ -120,11 +124,15 @@
 		address  string
 		listener *net.Listener
 	}{
-		{"caller-listen", e.settings.raw.CallerListen, &e.listeners.caller},
 		{"peer-listen", e.settings.raw.PeerListen, &e.listeners.peer},
 		{"operator-listen", e.settings.raw.OperatorListen, &e.listeners.operator},
 		{"metrics-listen", e.settings.raw.MetricsListen, &e.listeners.metrics},
 	}
+	var err error
+	if e.listeners.callerQueue, err = fglistener.Listen(e.settings.raw.CallerListen); err != nil {
+		return fmt.Errorf("--caller-listen: %w", err)
+	}
+	e.listeners.caller = e.listeners.callerQueue
 	for _, p := range ports {
 		l, err := net.Listen("tcp", p.address)
 		if err != nil {
@@ -184,6 +192,7 @@
 	e.logger.Info("entry starting", "vm", e.settings.raw.VM, "incarnation", e.incarnation.String(),
 		"caller", e.CallerAddress(), "peer", e.PeerAddress(), "operator", e.OperatorAddress())
 	caller := e.httpServer(e.callerHandler())
+	caller.ConnState = e.callerConns.Observe
 	operator := e.httpServer(e.operatorHandler())
 	metrics := e.httpServer(e.metricsHandler())
 	// The tasks do not end with ctx, so that they continue during the graceful stop.
@@ -231,7 +240,7 @@
 }
 
 func (e *Entry) httpServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: fglistener.ConnContext}
 }
 
 func serveHTTP(s *http.Server, l net.Listener) error {
@@ -264,10 +273,11 @@
 	_ = fgtimer.Wait(ctx, e.settings.raw.DrainWait)
 	drain, cancel := context.WithTimeout(ctx, e.settings.raw.DrainTimeout)
 	defer cancel()
-	caller.SetKeepAlivesEnabled(false)
-	if err := caller.Shutdown(drain); err != nil {
+	if err := e.listeners.callerQueue.Drain(drain); err != nil {
+		e.logger.Info("accepting the queued connections failed", "error", err.Error())
+	}
+	if err := e.callerConns.Stop(drain, caller); err != nil {
 		e.logger.Info("requests still in flight at the drain timeout", "error", err.Error())
-		_ = caller.Close()
 	}
 	if err := e.forwarded.wait(drain); err != nil {
 		e.logger.Info("forwarded requests still in flight at the drain timeout", "error", err.Error())
--- a/internal/fggateway/callers.go
+++ b/internal/fggateway/callers.go
@@ -25,7 +25,7 @@
 // server for each set of limits, since net/http may read a server's limits at any
 // time.
 type callerServers struct {
-	listener net.Listener
+	listener *fglistener.Draining
 	handler  http.Handler
 	// limits returns the limits in force.
 	limits func() fgsteer.CallerLimits
@@ -38,12 +38,13 @@
 
 // limitedServer serves the connections that were opened under the same limits.
 type limitedServer struct {
-	http        *http.Server
-	connections *fglistener.Listener
-	ended       chan error
+	http     *http.Server
+	listener *fglistener.Listener
+	open     fglistener.Connections
+	ended    chan error
 }
 
-func newCallerServers(l net.Listener, h http.Handler, limits func() fgsteer.CallerLimits, logger logr.Logger) *callerServers {
+func newCallerServers(l *fglistener.Draining, h http.Handler, limits func() fgsteer.CallerLimits, logger logr.Logger) *callerServers {
 	return &callerServers{listener: l, handler: h, limits: limits, logger: logger, servers: map[fgsteer.CallerLimits]*limitedServer{}}
 }
 
@@ -68,7 +69,7 @@
 			_ = conn.Close()
 			continue
 		}
-		s.connections.Deliver(conn)
+		s.listener.Deliver(conn)
 	}
 }
 
@@ -87,7 +88,8 @@
 	}
 	s := c.servers[l]
 	if s == nil {
-		s = &limitedServer{http: newServer(c.handler), connections: fglistener.New(c.listener.Addr()), ended: make(chan error, 1)}
+		s = &limitedServer{http: newServer(c.handler), listener: fglistener.New(c.listener.Addr()), ended: make(chan error, 1)}
+		s.http.ConnContext, s.http.ConnState = fglistener.ConnContext, s.open.Observe
 		if l.HeaderTimeout > 0 {
 			s.http.ReadHeaderTimeout = l.HeaderTimeout
 		}
@@ -98,7 +100,7 @@
 			s.http.MaxHeaderBytes = l.MaxHeaderBytes
 		}
 		c.servers[l] = s
-		go func() { s.ended <- s.http.Serve(s.connections) }()
+		go func() { s.ended <- s.http.Serve(s.listener) }()
 	}
 	return s
 }
@@ -117,11 +119,17 @@
 }
 
 // Shutdown stops accepting connections and waits until the requests on the open
-// ones have ended.
+// ones have ended. Connections that the kernel has established by then are served.
 func (c *callerServers) Shutdown(ctx context.Context) error {
+	if err := c.listener.Drain(ctx); err != nil {
+		c.logger.Info("accepting the queued connections failed", "error", err.Error())
+	}
 	tasks := pool.New().WithErrors()
 	for _, s := range c.stopAccepting() {
-		tasks.Go(func() error { return s.http.Shutdown(ctx) })
+		tasks.Go(func() error {
+			s.listener.Flush()
+			return s.open.Stop(ctx, s.http)
+		})
 	}
 	return tasks.Wait()
 }
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
+	"github.com/filbertgap/filbertgap/internal/transport/fglistener"
 	"github.com/filbertgap/filbertgap/internal/transport/fgpool"
 )
 
@@ -49,9 +50,11 @@
 	cancel context.CancelFunc
 }
 
-// close ends the exchange with the upstream.
+// close ends the exchange with the upstream. The connection is kept only if the
+// response named its request: without a name, a second copy that arrives late could
+// not be told from the response to the next request.
 func (r *upstreamResponse) close(complete bool) {
-	r.Close(complete, r.meta.IdleTimeout)
+	r.Close(complete && r.meta.AttemptID != "", r.meta.IdleTimeout)
 	r.cancel()
 }
 
@@ -89,7 +92,7 @@
 		o := g.send(ctx, r, q, u)
 		if o.refusal == nil {
 			g.recordCompletion(r, q)
-			g.deliver(w, q, o.response)
+			g.deliver(w, r, q, o.response)
 			return
 		}
 		next, refused = o.next, o.refusal
@@ -112,7 +115,7 @@
 	if r.Context().Err() != nil {
 		g.refundToken(q)
 		g.finishRequest(q, statusCallerLeft, codeCallerLeft, "the caller disconnected", "")
-		panic(http.ErrAbortHandler)
+		abortResponse(r)
 	}
 	g.refuse(w, q, refused)
 }
@@ -161,9 +164,11 @@
 	var meta fgmessage.Response
 	response, err := g.pool.Send(ctx, fgpool.Target{ID: spec.ID, Address: spec.Address}, fgpool.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: q.header, Body: q.body,
-		Accept: func(res *http.Response) bool {
+		Accept: func(res *http.Response, reused bool) bool {
 			meta = g.dialect.ReadResponse(res)
-			return meta.AttemptID == q.AttemptID || meta.AttemptID == "" && meta.NotRun
+			// A refusal may name no request. On a reused connection it may be a late
+			// copy that belongs to an earlier one, while this request runs.
+			return meta.AttemptID == q.AttemptID || meta.AttemptID == "" && meta.NotRun && !reused
 		},
 	})
 	inTime, next := w.stop()
@@ -207,6 +212,8 @@
 		result = fgaffinity.Silent
 	case errors.Is(err, fgpool.ErrNotSent):
 		result = fgaffinity.Unreached
+	case errors.Is(err, fgpool.ErrMalformed):
+		result = fgaffinity.Malformed
 	}
 	if !errors.Is(err, fgpool.ErrNotSent) {
 		q.sends++
@@ -228,6 +235,8 @@
 	switch {
 	case abandoned, time.Until(q.deadline) <= 0:
 		return q.lateRefusal()
+	case errors.Is(err, fgpool.ErrMalformed):
+		return &refusal{status: http.StatusBadGateway, code: codeNotWhole, reason: "the upstream sent no valid response; the request may have run"}
 	case q.mayHaveRun:
 		return &refusal{status: http.StatusBadGateway, code: codeLost, reason: "the connection to the upstream broke; the request may have run"}
 	default:
@@ -273,7 +282,7 @@
 }
 
 // deliver passes a response on to the caller.
-func (g *Gateway) deliver(w http.ResponseWriter, q *request, res *upstreamResponse) {
+func (g *Gateway) deliver(w http.ResponseWriter, r *http.Request, q *request, res *upstreamResponse) {
 	h := w.Header()
 	for field, values := range forwardedHeader(res.Header) {
 		h[field] = values
@@ -295,11 +304,18 @@
 	g.finishSend(res.upstream, q.group, res.result)
 	if err != nil {
 		g.finishRequest(q, statusCallerLeft, codeAnswerCut, "passing on the response failed: "+err.Error(), res.upstream.Spec().ID)
-		panic(http.ErrAbortHandler)
+		abortResponse(r)
 	}
 	g.finishRequest(q, res.StatusCode, codeAnswered, "the upstream responded", res.upstream.Spec().ID)
 }
 
+// abortResponse ends the caller's connection, so that a response that is not
+// complete does not look complete. It does not return.
+func abortResponse(r *http.Request) {
+	fglistener.ResetIfUnframed(r)
+	panic(http.ErrAbortHandler)
+}
+
 // writeTimeout bounds the time in which a caller must receive a response.
 const writeTimeout = 10 * time.Second
 
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
 	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 	"github.com/filbertgap/filbertgap/internal/transport/fggossip"
+	"github.com/filbertgap/filbertgap/internal/transport/fglistener"
 	"github.com/filbertgap/filbertgap/internal/transport/fgpool"
 )
 
@@ -54,7 +55,10 @@
 	MetricsListen string
 	// MemoryBytes is the memory limit of the process. Zero means no limit.
 	MemoryBytes int64
-	Bounds      Bounds
+	// MaxResponseHeaderBytes limits the head of an upstream's response. Zero means
+	// fgpool.DefaultMaxHeadBytes.
+	MaxResponseHeaderBytes int
+	Bounds                 Bounds
 }
 
 // Bounds are the limits that the platform sets for a gateway. They may change while
@@ -160,6 +164,7 @@
 		}),
 	}
 	g.bodies.limit = o.Settings.MemoryBytes / bodyMemoryDivisor
+	g.pool.SetMaxHeadBytes(o.Settings.MaxResponseHeaderBytes)
 	g.SetBounds(o.Settings.Bounds)
 	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.applyView})
 	g.metrics = g.newMetrics()
@@ -174,6 +179,7 @@
 	}
 	return fgmetrics.NewGateway(fgmetrics.GatewayCallbacks{
 		StoreAge: g.mirror.Age, StoreRevision: g.mirror.Revision, ConnectionsOpened: g.pool.Opened, ConnectionsReused: g.pool.Reused, DroppedLines: dropped,
+		CallerConnections: func() int64 { return g.sockets.callers.Accepted() },
 		PolicyVersion: func() int64 {
 			if v := g.mirror.View(); v != nil && v.Policy() != nil {
 				return v.Policy().Version()
@@ -225,18 +231,22 @@
 
 // sockets are the gateway's open sockets.
 type sockets struct {
-	callers, ready, lookup net.Listener
-	metrics                net.Listener
+	callers                *fglistener.Draining
+	ready, lookup, metrics net.Listener
 	peers                  *fggossip.Socket
 }
 
 // Listen opens the gateway's sockets.
 func (g *Gateway) Listen() error {
+	callers, err := fglistener.Listen(g.settings.CallerListen)
+	if err != nil {
+		return fmt.Errorf("callers: %w", err)
+	}
+	g.sockets.callers = callers
 	for _, socket := range []struct {
 		name, address string
 		listener      *net.Listener
 	}{
-		{"callers", g.settings.CallerListen, &g.sockets.callers},
 		{"ready", g.settings.ReadyListen, &g.sockets.ready},
 		{"look-ups", g.settings.LookupListen, &g.sockets.lookup},
 		{"metrics", g.settings.MetricsListen, &g.sockets.metrics},
@@ -247,7 +257,6 @@
 		}
 		*socket.listener = l
 	}
-	var err error
 	if g.sockets.peers, err = fggossip.Listen(g.settings.PeerListen); err != nil {
 		return fmt.Errorf("peers: %w", err)
 	}
--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -178,9 +178,8 @@
 	done   chan error
 }
 
-// gateway starts a gateway and waits until it has received the policy and a
-// number of upstreams.
-func (env *testEnv) gateway(vm string, upstreams int) *testGateway {
+// startGateway starts a gateway.
+func (env *testEnv) startGateway(vm string) *testGateway {
 	env.t.Helper()
 	g := New(Options{
 		Settings: Settings{
@@ -201,6 +200,14 @@
 	r := &testGateway{Gateway: g, cancel: cancel, done: make(chan error, 1)}
 	go func() { r.done <- g.Run(ctx) }()
 	env.t.Cleanup(r.stop)
+	return r
+}
+
+// gateway starts a gateway and waits until it has received the policy and a
+// number of upstreams.
+func (env *testEnv) gateway(vm string, upstreams int) *testGateway {
+	env.t.Helper()
+	g := env.startGateway(vm)
 	env.eventually("the gateway is ready", func() bool {
 		v := g.mirror.View()
 		return g.isReady() && len(v.Upstreams("g")) == upstreams && len(v.Members()) > 0
@@ -209,7 +216,7 @@
 	for range 100 {
 		g.retryBudget.CountRequest("g")
 	}
-	return r
+	return g
 }
 
 func (r *testGateway) stop() {
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -27,6 +27,7 @@
 	Upstreams         func() int
 	ConnectionsOpened func() int64
 	ConnectionsReused func() int64
+	CallerConnections func() int64
 	DroppedLines      func() int64
 }
 
@@ -49,6 +50,7 @@
 		gauge("gateway_upstreams", "Upstreams that may get requests.", func() float64 { return float64(c.Upstreams()) }),
 		counter("gateway_connections_opened_total", "Connections opened to upstreams.", c.ConnectionsOpened),
 		counter("gateway_connections_reused_total", "Requests sent over a kept connection.", c.ConnectionsReused),
+		counter("gateway_caller_connections_total", "Connections accepted from callers.", c.CallerConnections),
 		counter("gateway_log_lines_dropped_total", "Log lines dropped because the output was too slow.", c.DroppedLines),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
--- a/internal/transport/fglistener/listener.go
+++ b/internal/transport/fglistener/listener.go
@@ -31,13 +31,27 @@
 	}
 }
 
-// Accept returns the next delivered connection.
-func (l *Listener) Accept() (net.Conn, error) {
+// Flush returns when Accept has been called again after the last delivered
+// connection, or when the listener is closed. An http.Server knows the connection by
+// then, so that its Shutdown waits for it.
+func (l *Listener) Flush() {
 	select {
-	case c := <-l.conns:
-		return c, nil
+	case l.conns <- nil:
 	case <-l.done:
-		return nil, net.ErrClosed
+	}
+}
+
+// Accept returns the next delivered connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		select {
+		case c := <-l.conns:
+			if c != nil {
+				return c, nil
+			}
+		case <-l.done:
+			return nil, net.ErrClosed
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/transport/fglistener/reset.go
@@ -0,0 +1,33 @@
+package fglistener
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+)
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// ConnContext stores a connection in the context of its requests. It is meant for
+// the field of http.Server with the same name.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// ResetIfUnframed makes the end of a request's connection a reset if the caller speaks
+// HTTP/1.0, where the end of the connection may be the end of the response: a
+// response that is aborted would look complete.
+func ResetIfUnframed(r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		return
+	}
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
--- a/internal/transport/fgpool/conn.go
+++ b/internal/transport/fgpool/conn.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -19,8 +20,47 @@
 	net.Conn
 
 	reader  *bufio.Reader
+	head    *headLimit
 	raw     syscall.RawConn
 	expires time.Time // end of the idle timeout
+	// used means that the connection has carried a request.
+	used bool
+}
+
+// newConn returns a connection that reads through a headLimit.
+func newConn(c net.Conn) *conn {
+	head := &headLimit{conn: c}
+	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
+}
+
+// headLimit limits how many bytes are read from a connection while the head of a
+// response is expected. The zero limit is none.
+type headLimit struct {
+	conn      net.Conn
+	limited   bool
+	remaining int
+	// broken means that reading from the connection has failed.
+	broken bool
+}
+
+// set limits the next bytes to n.
+func (l *headLimit) set(n int) { l.limited, l.remaining = true, n }
+
+// clear ends the limit.
+func (l *headLimit) clear() { l.limited = false }
+
+// Read returns errHeadTooLarge if the limit is used up.
+func (l *headLimit) Read(b []byte) (int, error) {
+	if l.limited {
+		if l.remaining <= 0 {
+			return 0, merry.Wrap(errHeadTooLarge)
+		}
+		b = b[:min(len(b), l.remaining)]
+	}
+	n, err := l.conn.Read(b)
+	l.remaining -= n
+	l.broken = l.broken || err != nil
+	return n, err
 }
 
 // dial opens a connection to an upstream and sets TCP_USER_TIMEOUT.
@@ -29,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes)}
+	c := newConn(netConn)
 	tcp, ok := netConn.(*net.TCPConn)
 	if !ok {
 		return c, nil
--- a/internal/transport/fgpool/pool.go
+++ b/internal/transport/fgpool/pool.go
@@ -39,6 +39,9 @@
 	idleMargin = 1500 * time.Millisecond
 	// sweepInterval is how often expired idle connections are closed.
 	sweepInterval = time.Second
+	// DefaultMaxHeadBytes is the largest head of a response that is read, unless
+	// SetMaxHeadBytes sets another limit. Heads of upstreams have some hundred bytes.
+	DefaultMaxHeadBytes = 64 << 10
 	// maxStaleResponses is how many responses are skipped: those to earlier requests,
 	// and interim (1xx) ones.
 	maxStaleResponses = 3
@@ -58,6 +61,12 @@
 	// ErrNoResponse means that the upstream may have run the request, but no
 	// complete response header was received.
 	ErrNoResponse = merry.Sentinel("the request was sent, but no response was received")
+	// ErrMalformed means that the upstream sent bytes that are not a response to the
+	// request, or more of them than the limits allow. It comes with ErrNoResponse.
+	ErrMalformed = merry.Sentinel("the upstream sent no valid response")
+
+	// errHeadTooLarge means that the head of a response exceeds its limit.
+	errHeadTooLarge = merry.Sentinel("the head of the response is too large")
 )
 
 // Request is a request to an upstream.
@@ -68,9 +77,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Accept reports whether a response belongs to this request. Nil accepts
-	// every response.
-	Accept func(*http.Response) bool
+	// Accept reports whether a response belongs to this request. reused means that
+	// the connection has carried earlier requests, whose responses may arrive late.
+	// Nil accepts every response.
+	Accept func(res *http.Response, reused bool) bool
 }
 
 // Target names an upstream and its address.
@@ -87,6 +97,19 @@
 
 	opened, reused atomic.Int64
 	connectTimeout atomic.Int64
+	maxHeadBytes   atomic.Int64
+}
+
+// SetMaxHeadBytes sets the size of the largest head of a response. A value of zero
+// or less restores the default.
+func (p *Pool) SetMaxHeadBytes(n int) { p.maxHeadBytes.Store(int64(n)) }
+
+// headBytes returns the size of the largest head of a response.
+func (p *Pool) headBytes() int {
+	if n := int(p.maxHeadBytes.Load()); n > 0 {
+		return n
+	}
+	return DefaultMaxHeadBytes
 }
 
 // SetConnectTimeout sets the timeout for opening a connection. A value of zero
@@ -125,7 +148,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	rs := &Response{pool: p, conn: c, target: t, stop: stop}
-	if err := rs.exchange(r); err != nil {
+	err = rs.exchange(r)
+	c.used = true
+	if err != nil {
 		stop()
 		_ = c.Close()
 		if cause := ctx.Err(); cause != nil {
@@ -154,23 +179,37 @@
 		return errors.Join(ErrNoResponse, err)
 	}
 	for range maxStaleResponses + 1 {
+		rs.conn.head.set(rs.pool.headBytes())
 		res, err := http.ReadResponse(rs.conn.reader, &http.Request{Method: r.Method})
+		rs.conn.head.clear()
 		if err != nil {
-			return errors.Join(ErrNoResponse, err)
+			return rs.readError(err)
 		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Accept == nil || r.Accept(res) {
+		if r.Accept == nil || r.Accept(res, rs.conn.used) {
 			rs.Response = res
 			return nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStaleBodyBytes))
-		if err != nil || n == maxStaleBodyBytes || res.Close {
-			return errors.Join(ErrNoResponse, err)
+		if err != nil {
+			return rs.readError(err)
+		}
+		if n == maxStaleBodyBytes || res.Close {
+			return errors.Join(ErrNoResponse, ErrMalformed)
 		}
 	}
-	return ErrNoResponse
+	return errors.Join(ErrNoResponse, ErrMalformed)
+}
+
+// readError returns the error of an exchange whose response could not be read. It
+// is ErrMalformed unless the connection broke.
+func (rs *Response) readError(err error) error {
+	if rs.conn.head.broken {
+		return errors.Join(ErrNoResponse, err)
+	}
+	return errors.Join(ErrNoResponse, ErrMalformed, err)
 }
 
 // encodeRequest returns the request line and header of an HTTP/1.1 request. The
--- a/internal/transport/fgpool/pool_test.go
+++ b/internal/transport/fgpool/pool_test.go
@@ -56,7 +56,7 @@
 func request(id string) Request {
 	return Request{
 		Method: http.MethodPost, URI: "/a/b?c=%20d", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("order"),
-		Accept: func(r *http.Response) bool { return r.Header.Get("Id") == id },
+		Accept: func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == id },
 	}
 }
 
