Bound every read from outside, and recognise late copies at the entry

Cause: the HTTP clients of the entry, the store, the callers' and the operators' client accepted heads of 10 MB, and a refusal's body was decoded without a limit. net/http's Transport takes any response on a connection for that of the last request, also a late second copy of an earlier one. The entry now sends Filbertgap-Send-Id; a response with another one is lost, not delivered. The peers' listener stops like the callers'.

Measured: fgupstream TestLateCopyOfResponse and TestEndlessResponses, and the tests of the same kind in fgclient, platform and fggossip, pass; the first cannot run on the code before, which has no such header.

--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -273,8 +273,10 @@
 	_ = fgtimer.Wait(ctx, e.settings.raw.DrainWait)
 	drain, cancel := context.WithTimeout(ctx, e.settings.raw.DrainTimeout)
 	defer cancel()
-	if err := e.listeners.callerQueue.Drain(drain); err != nil {
-		e.logger.Info("accepting the queued connections failed", "error", err.Error())
+	if queue := e.listeners.callerQueue; queue != nil {
+		if err := queue.Drain(drain); err != nil {
+			e.logger.Info("accepting the queued connections failed", "error", err.Error())
+		}
 	}
 	if err := e.callerConns.Stop(drain, caller); err != nil {
 		e.logger.Info("requests still in flight at the drain timeout", "error", err.Error())
--- a/internal/fgstandin/upstream.go
+++ b/internal/fgstandin/upstream.go
@@ -51,6 +51,8 @@
 const (
 	// HeaderNotRun in a response states that the refused request did not run.
 	HeaderNotRun = "Request-Not-Run"
+	// HeaderSendID is copied from a request to its response.
+	HeaderSendID = "Filbertgap-Send-Id"
 
 	// HeaderRequestID carries the id of a non-idempotent request.
 	HeaderRequestID = "Filbertgap-Request-Id"
@@ -192,6 +194,9 @@
 }
 
 func (u *Upstream) handleRequest(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(HeaderSendID); id != "" {
+		w.Header().Set(HeaderSendID, id)
+	}
 	b, ok := u.acquireSlot()
 	if !ok {
 		if onShed := u.shedHook(); onShed != nil {
--- a/internal/protocol/fgheader/header.go
+++ b/internal/protocol/fgheader/header.go
@@ -6,6 +6,11 @@
 	"strings"
 )
 
+// MaxResponseBytes is the largest head of a response, in bytes, that clients of this
+// module read. Heads have some hundred bytes; a peer in trouble may send one without
+// end.
+const MaxResponseBytes = 64 << 10
+
 // hopByHop lists the header fields that concern one connection only, from
 // RFC 9110, section 7.6.1, and from older specifications.
 var hopByHop = []string{
--- a/internal/transport/fgpeer/listener.go
+++ b/internal/transport/fgpeer/listener.go
@@ -45,14 +45,15 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	httpListener := fglistener.New(l.Addr())
-	httpServer := &http.Server{Handler: s.options.HTTP, ReadHeaderTimeout: handshakeTimeout}
+	var open fglistener.Connections
+	httpServer := &http.Server{Handler: s.options.HTTP, ReadHeaderTimeout: handshakeTimeout, ConnState: open.Observe}
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer cancel()
 	defer func() {
-		shutdownHTTP(httpServer)
+		shutdownHTTP(httpServer, &open)
 		_ = httpListener.Close()
 	}()
 	wg.Go(func() { _ = httpServer.Serve(httpListener) })
@@ -69,13 +70,12 @@
 }
 
 // shutdownHTTP stops a server. A response may still be in transit to its
-// connection after its handler has returned, so the server is shut down
-// gracefully for up to shutdownTimeout before the connections are closed.
-func shutdownHTTP(s *http.Server) {
+// connection after its handler has returned, so the server is stopped gracefully for
+// up to shutdownTimeout before the connections are closed.
+func shutdownHTTP(s *http.Server, open *fglistener.Connections) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	_ = s.Shutdown(ctx)
-	_ = s.Close()
+	_ = open.Stop(ctx, s)
 }
 
 // serveConn performs the handshake and passes the connection to the server of
--- a/internal/transport/fgplatform/client.go
+++ b/internal/transport/fgplatform/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
 )
 
 const (
@@ -54,7 +55,7 @@
 	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
 		return nil, fmt.Errorf("platform address is %q; accepted is http://HOST:PORT or https://HOST:PORT", baseURL)
 	}
-	return &Client{baseURL: u.Scheme + "://" + u.Host, client: &http.Client{Transport: &http.Transport{}}}, nil
+	return &Client{baseURL: u.Scheme + "://" + u.Host, client: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: fgheader.MaxResponseBytes}}}, nil
 }
 
 // Get returns the value of a key.
--- a/internal/transport/fgpool/pool.go
+++ b/internal/transport/fgpool/pool.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
 )
 
 const (
@@ -40,8 +42,8 @@
 	// sweepInterval is how often expired idle connections are closed.
 	sweepInterval = time.Second
 	// DefaultMaxHeadBytes is the largest head of a response that is read, unless
-	// SetMaxHeadBytes sets another limit. Heads of upstreams have some hundred bytes.
-	DefaultMaxHeadBytes = 64 << 10
+	// SetMaxHeadBytes sets another limit.
+	DefaultMaxHeadBytes = fgheader.MaxResponseBytes
 	// maxStaleResponses is how many responses are skipped: those to earlier requests,
 	// and interim (1xx) ones.
 	maxStaleResponses = 3
--- a/internal/transport/fgupstream/client.go
+++ b/internal/transport/fgupstream/client.go
@@ -12,6 +12,11 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
 )
 
 const (
@@ -37,6 +42,14 @@
 // response, that it did not run the request.
 const HeaderNotRun = "Request-Not-Run"
 
+// HeaderSendID is the header with an ID of one send. An upstream that copies it to its
+// response lets the client recognise a response to another request: a second copy
+// that arrives late, on a connection that is in use again.
+const HeaderSendID = "Filbertgap-Send-Id"
+
+// ErrOtherResponse means that a response belongs to another request.
+var ErrOtherResponse = merry.Sentinel("the response belongs to another request")
+
 // HeaderRequestID is the header with the ID of a non-idempotent request.
 const HeaderRequestID = "Filbertgap-Request-Id"
 
@@ -87,9 +100,10 @@
 			}
 			return &conn{Conn: c}, nil
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: fgheader.MaxResponseBytes,
 	}}
 }
 
@@ -119,10 +133,17 @@
 	outReq.RequestURI = ""
 	outReq.Header.Del("Expect")
 	preventResend(outReq)
+	sendID := fgrequest.NewTraceID()
+	outReq.Header.Set(HeaderSendID, sendID)
 	res, err := c.transport.RoundTrip(outReq)
 	if err != nil {
 		return nil, sent.outcome(), err
 	}
+	if id := res.Header.Get(HeaderSendID); id != "" && id != sendID {
+		_ = res.Body.Close()
+		return nil, sent.outcome(), merry.Wrap(ErrOtherResponse)
+	}
+	res.Header.Del(HeaderSendID)
 	if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(HeaderNotRun) == "true" {
 		_, _ = io.CopyN(io.Discard, res.Body, maxRefusalBytes)
 		_ = res.Body.Close()
--- a/pkg/fgclient/caller.go
+++ b/pkg/fgclient/caller.go
@@ -128,7 +128,7 @@
 		return Lookup{}, refusalError(res)
 	}
 	var lookup Lookup
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxResponseBytes)).Decode(&lookup); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxLookupBytes)).Decode(&lookup); err != nil {
 		return Lookup{}, err
 	}
 	if len(lookup.VMs) == 0 {
--- a/pkg/fgclient/operator.go
+++ b/pkg/fgclient/operator.go
@@ -19,6 +19,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
 )
 
@@ -54,8 +55,13 @@
 	roundDelay = 300 * time.Millisecond
 	// watchWait is how long a VM waits for a change before it responds to a watch.
 	watchWait = 3 * time.Second
-	// maxResponseBytes is the maximum size of a response body.
+	// maxResponseBytes is the maximum size of the body of a response to operators,
+	// which may hold all resources.
 	maxResponseBytes = 64 << 20
+	// maxLookupBytes is the maximum size of the body of a look-up response.
+	maxLookupBytes = 1 << 20
+	// maxRefusalBytes is how much of the body of a refusal is read.
+	maxRefusalBytes = 64 << 10
 )
 
 // OperatorOptions configures an Operator.
@@ -102,7 +108,7 @@
 // newTransport returns a transport that trusts the certificates in caFile, or the
 // host's if caFile is empty.
 func newTransport(caFile string) (*http.Transport, error) {
-	transport := &http.Transport{}
+	transport := &http.Transport{MaxResponseHeaderBytes: fgheader.MaxResponseBytes}
 	if caFile == "" {
 		return transport, nil
 	}
@@ -306,7 +312,7 @@
 		Detail  string `json:"detail"`
 		Outcome string `json:"outcome"`
 	}
-	if err := json.NewDecoder(res.Body).Decode(&p); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxRefusalBytes)).Decode(&p); err != nil {
 		return fmt.Errorf("%w: status %s", ErrRefused, res.Status)
 	}
 	if p.Outcome == outcomeUnknown {
