--- a/internal/transport/fggossip/endless_test.go
+++ b/internal/transport/fggossip/endless_test.go
@@ -1,7 +1,6 @@
 package fggossip
 
 import (
-	"io"
 	"net"
 	"strings"
 	"testing"
@@ -36,7 +35,7 @@
 				block := []byte(strings.Repeat(tt.next, 1+(16<<10)/len(tt.next)))
 				for err == nil && n < 256<<20 {
 					var more int
-					more, err = io.WriteString(c, string(block))
+					more, err = c.Write(block)
 					n += more
 				}
 				taken <- n
