Name gateways in look-ups in proportion to processor and link

Cause: look-ups named each gateway of a region once, so that VMs with links of 10 Mbit/s took as many callers as those with 200. Ruled out: processor (0.025 cores of 0.4 used), rates, upstreams at their limit (2% refused). Callers pick an address of the response at random, so an address that stands there several times gets as many connections.

--- a/internal/fgcommand/gateway.go
+++ b/internal/fgcommand/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
 
+	"github.com/filbertgap/filbertgap/internal/coordination/fglookup"
 	"github.com/filbertgap/filbertgap/internal/fggateway"
 	"github.com/filbertgap/filbertgap/internal/fglog"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
@@ -104,6 +105,7 @@
 		Self: fgsteer.MemberSpec{
 			VM: s.VM, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
 			CallerAddress: s.CallerListen, PeerAddress: s.PeerListen,
+			Capacity: fglookup.Capacity(s.Cores, s.LinkBitsPerSecond),
 		},
 		CallerListen: s.CallerListen, ReadyListen: s.ReadyListen, LookupListen: s.LookupListen,
 		PeerListen: s.PeerListen, MetricsListen: s.MetricsListen, MemoryBytes: s.MemoryBytes,
--- a/internal/fggateway/lookup.go
+++ b/internal/fggateway/lookup.go
@@ -6,6 +6,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/filbertgap/filbertgap/internal/coordination/fglookup"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 )
@@ -39,24 +40,25 @@
 }
 
 // addresses returns the addresses of the available gateways in the caller's region,
-// or in all regions if it has none. Requests of a route that is restricted to regions
+// or in all regions if it has none, in proportion to their capacities. Requests of a route that is restricted to regions
 // therefore do not enter through another region while the caller's own has a gateway.
 func (g *Gateway) addresses(v *fgsteer.View, query fgmessage.Lookup) []string {
-	var sameRegion, all []string
+	var sameRegion, all []fglookup.Candidate
 	for _, m := range v.Members() {
 		if !g.isAvailable(m.VM) {
 			continue
 		}
-		all = append(all, m.CallerAddress)
+		c := fglookup.Candidate{Address: m.CallerAddress, Capacity: m.Capacity}
+		all = append(all, c)
 		if m.Region == query.Region {
-			sameRegion = append(sameRegion, m.CallerAddress)
+			sameRegion = append(sameRegion, c)
 		}
 	}
 	if len(sameRegion) > 0 {
 		all = sameRegion
 	}
 	if len(all) == 0 && !g.leaving.Load() {
-		all = []string{g.settings.Self.CallerAddress}
+		all = []fglookup.Candidate{{Address: g.settings.Self.CallerAddress}}
 	}
-	return all[:min(len(all), maxAddresses)]
+	return fglookup.Spread(g.settings.Self.VM, all, maxAddresses)
 }
--- a/internal/state/fgsteer/view.go
+++ b/internal/state/fgsteer/view.go
@@ -38,6 +38,9 @@
 	Region           string
 	CallerAddress    string
 	PeerAddress      string
+	// Capacity is how many requests per second the gateway's VM is fit for, relative
+	// to the others. Zero means that it is not known.
+	Capacity float64
 }
 
 // View is a snapshot of the data by which requests are routed. It is immutable.
