Send states through relays and follow the store through contacts

Cause: each gateway sent its state to each other, 23,000 datagrams/s on 118 gateways, two thirds of them between regions, and each held a watch of the store.

Change: above 20 gateways, states go to the region, and two relays of each region exchange those of their regions and pass them on by zone, unchanged and numbered. In zones of more than three gateways two contacts follow the store and the others follow them.

--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -60,6 +60,9 @@
 	Feed   fgstore.Feed
 	Codec  Codec
 	Logger logr.Logger
+	// Contact returns the gateway whose copy of the store is followed, or nil if the
+	// store itself is to be followed. Nil always follows the store.
+	Contact func() Contact
 	// Publish is called with each new view before View returns it, so that whoever
 	// sees a view finds it applied. Calls do not overlap.
 	Publish func(*fgsteer.View)
@@ -99,11 +102,14 @@
 	warned         map[string]bool
 	revision       uint64
 	republishTimer *time.Timer
+	// direct means that the copy follows the store itself.
+	direct  bool
+	history history
 }
 
 // New returns an empty mirror.
 func New(o Options) *Mirror {
-	return &Mirror{options: o, epoch: time.Now().Add(-time.Hour), entries: map[string]*entry{}}
+	return &Mirror{options: o, epoch: time.Now().Add(-time.Hour), entries: map[string]*entry{}, history: newHistory()}
 }
 
 // View returns the newest view, or nil if no copy of the store was read yet.
@@ -171,10 +177,18 @@
 			return err
 		}
 		m.RecordSuccess()
+		m.setDirect(true)
 		m.Replace(values, revision, m.Recovering())
 		*loaded = true
 		return nil
 	}
+	if m.options.Contact != nil {
+		if c := m.options.Contact(); c != nil {
+			m.followContact(ctx, c)
+			return nil
+		}
+	}
+	m.setDirect(true)
 	events, revision, err := m.options.Feed.WatchEvents(ctx, "", m.Revision(), longPollWait)
 	if err != nil {
 		return err
@@ -184,7 +198,7 @@
 		m.advance(revision)
 		return nil
 	}
-	m.apply(events, revision)
+	m.apply(events, revision, m.Recovering())
 	return fgtimer.Wait(ctx, m.BatchWait())
 }
 
@@ -208,7 +222,10 @@
 func (m *Mirror) advance(revision uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.revision = max(m.revision, revision)
+	if revision > m.revision {
+		m.revision = revision
+		m.history.add(nil, revision)
+	}
 }
 
 // Values returns the stored values of the copy and its revision. Entries that
@@ -248,14 +265,15 @@
 		}
 	}
 	m.revision = revision
+	m.history.reset(revision)
 	m.publish()
 }
 
-// apply applies the changes up to a revision.
-func (m *Mirror) apply(events []fgstore.Event, revision uint64) {
+// apply applies the changes up to a revision. recovering has the same meaning as for
+// Replace.
+func (m *Mirror) apply(events []fgstore.Event, revision uint64, recovering bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	recovering := time.Now().Before(m.graceEnd)
 	for _, v := range events {
 		e := m.entries[v.Key]
 		switch {
@@ -269,6 +287,7 @@
 		}
 	}
 	m.revision = max(m.revision, revision)
+	m.history.add(events, m.revision)
 	m.publish()
 }
 
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -191,7 +191,7 @@
 func (e *Entry) Run(ctx context.Context) error {
 	e.logger.Info("entry starting", "vm", e.settings.raw.VM, "incarnation", e.incarnation.String(),
 		"caller", e.CallerAddress(), "peer", e.PeerAddress(), "operator", e.OperatorAddress())
-	caller := e.httpServer(e.callerHandler())
+	caller := e.httpServer(e.callerConns.Handler(e.callerHandler()))
 	caller.ConnState = e.callerConns.Observe
 	operator := e.httpServer(e.operatorHandler())
 	metrics := e.httpServer(e.metricsHandler())
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/filbertgap/filbertgap/internal/coordination/fgquota"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgrelay"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
+	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 	"github.com/filbertgap/filbertgap/internal/transport/fggossip"
 )
 
@@ -36,16 +39,20 @@
 	mu            sync.Mutex
 	states        map[string]peerState
 	firstReceived time.Time
-	// behindSince is when source first reported a revision that this gateway lacks.
+	// behindSince is when a gateway first reported a revision that this one lacks.
 	behindSince    time.Time
 	behindRevision uint64
-	source         string
+	// sequences tells new states from old ones, and queue holds those to be passed
+	// on to other regions.
+	sequences fgrelay.Sequences
+	queue     fgrelay.Queue[*fgwire.GatewayState]
 }
 
 type peerState struct {
 	incarnation uint64
 	received    time.Time
 	leaving     bool
+	revision    uint64
 }
 
 // exchange sends this gateway's state to the others until the context ends.
@@ -87,27 +94,9 @@
 		})
 	}
 	state.Crashes = g.crashReports()
-	if err := s.Send(state, g.peerAddresses()); err != nil {
-		g.logger.V(1).Info("sending the state to a gateway failed", "error", err.Error())
-	}
-}
-
-// peerAddresses returns the addresses of the other registered gateways.
-func (g *Gateway) peerAddresses() []*net.UDPAddr {
-	v := g.mirror.View()
-	if v == nil {
-		return nil
-	}
-	var addresses []*net.UDPAddr
-	for _, m := range v.Members() {
-		if m.VM == g.settings.Self.VM {
-			continue
-		}
-		if a, err := net.ResolveUDPAddr("udp4", m.PeerAddress); err == nil {
-			addresses = append(addresses, a)
-		}
-	}
-	return addresses
+	p := g.updatePlan()
+	g.sendToPeers("state", s, state, p.peers)
+	g.queueForRelay(state)
 }
 
 // applyState applies the state that another gateway sent.
@@ -129,13 +118,13 @@
 	if old, ok := p.states[s.GetVm()]; !ok || old.incarnation != s.GetIncarnation() || old.leaving != s.GetLeaving() {
 		g.logger.Info("gateway state changed", "vm", s.GetVm(), "incarnation", s.GetIncarnation(), "leaving", s.GetLeaving())
 	}
-	p.states[s.GetVm()] = peerState{incarnation: s.GetIncarnation(), received: now, leaving: s.GetLeaving()}
+	p.states[s.GetVm()] = peerState{incarnation: s.GetIncarnation(), received: now, leaving: s.GetLeaving(), revision: s.GetStoreRevision()}
 	ownRevision := g.mirror.Revision()
 	if ownRevision >= p.behindRevision {
 		p.behindSince = time.Time{}
 	}
 	if s.GetStoreRevision() > ownRevision && p.behindSince.IsZero() {
-		p.behindSince, p.behindRevision, p.source = now, s.GetStoreRevision(), s.GetVm()
+		p.behindSince, p.behindRevision = now, s.GetStoreRevision()
 	}
 }
 
@@ -166,30 +155,55 @@
 	return !s.leaving && time.Since(s.received) < timeout
 }
 
-// behindPeer returns a peer with a newer copy of the store, and whether it has been
-// newer for so long that this gateway should fetch it.
-func (g *Gateway) behindPeer() (vm string, behind bool) {
+// isBehind reports whether a peer has had a newer copy of the store for so long that
+// this gateway should fetch one.
+func (g *Gateway) isBehind() bool {
 	ownRevision, delay := g.mirror.Revision(), catchUpDelay+g.mirror.BatchWait()
 	p := &g.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.source, !p.behindSince.IsZero() && ownRevision < p.behindRevision && time.Since(p.behindSince) > delay
+	return !p.behindSince.IsZero() && ownRevision < p.behindRevision && time.Since(p.behindSince) > delay
 }
 
 // catchUp fetches a peer's copy of the store if the store refuses this gateway's
-// requests while it serves other gateways.
+// requests while it serves other gateways, or if the contact that this gateway follows
+// lags behind others.
 func (g *Gateway) catchUp(ctx context.Context) {
-	source, behind := g.behindPeer()
 	v := g.mirror.View()
-	if !behind || v == nil {
+	if v == nil || !g.isBehind() {
 		return
 	}
 	g.peers.resetBehind()
-	for _, m := range v.Members() {
-		if m.VM == source {
-			g.fetchStore(ctx, m.PeerAddress, source)
+	g.contacts.avoidCurrent("other gateways have a newer copy")
+	if m, ok := g.nearestAhead(v.Members()); ok {
+		g.fetchStore(ctx, m.PeerAddress, m.VM)
+	}
+}
+
+// nearestAhead returns the nearest gateway whose copy of the store is newer than this
+// one's: a copy is large.
+func (g *Gateway) nearestAhead(members []fgsteer.MemberSpec) (fgsteer.MemberSpec, bool) {
+	self, ownRevision := g.settings.Self, g.mirror.Revision()
+	g.peers.mu.Lock()
+	defer g.peers.mu.Unlock()
+	var nearest fgsteer.MemberSpec
+	best := 0
+	for _, m := range members {
+		if m.VM == self.VM || g.peers.states[m.VM].revision <= ownRevision {
+			continue
+		}
+		nearness := 1
+		if m.Region == self.Region {
+			nearness = 2
+		}
+		if m.AvailabilityZone == self.AvailabilityZone {
+			nearness = 3
+		}
+		if nearness > best {
+			nearest, best = m, nearness
 		}
 	}
+	return nearest, best > 0
 }
 
 // resetBehind restarts the delay before the next fetch.
@@ -231,5 +245,6 @@
 	for _, v := range values {
 		response.Entries = append(response.Entries, &fgwire.StoreEntry{Key: v.Key, Value: v.Data, Revision: v.Revision})
 	}
+	s.gateway.metrics.PeerBytes("copy", reachUnknown, proto.Size(response))
 	return response, nil
 }
--- a/internal/fggateway/exchange_test.go
+++ b/internal/fggateway/exchange_test.go
@@ -24,8 +24,8 @@
 	for range 12 {
 		next := g.mirror.Revision() + 1
 		g.applyState(&fgwire.GatewayState{Vm: "vm-2", StoreRevision: next})
-		if source, behind := g.behindPeer(); behind {
-			t.Fatalf("behind %s", source)
+		if g.isBehind() {
+			t.Fatal("the gateway counts as behind")
 		}
 		env.put("up/u1", fgsteer.UpstreamSpec{ID: "u1", Group: "g", Address: "127.0.0.1:1", Slots: 4, Region: "east"})
 		env.eventually("the change is known", func() bool { return g.mirror.Revision() >= next })
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -43,6 +43,9 @@
 	acceptAfterStop = 3 * time.Second
 	// stopMargin is the time between the last response and the platform's SIGKILL.
 	stopMargin = 400 * time.Millisecond
+	// incarnationRandomBits of an incarnation are random, the others are its start in
+	// milliseconds.
+	incarnationRandomBits = 20
 )
 
 // Settings are the settings of a gateway for its VM.
@@ -112,6 +115,8 @@
 	bodies      bodyMemory
 	metrics     *fgmetrics.Gateway
 	peers       peers
+	contacts    contacts
+	plan        atomic.Pointer[exchangePlan]
 	pool        fgpool.Pool
 	logSamplers logSamplers
 	sockets     sockets
@@ -150,7 +155,9 @@
 
 // New returns a gateway, which is started by Listen and Run.
 func New(o Options) *Gateway {
-	o.Settings.Self.Incarnation = rand.Uint64()
+	// A later incarnation has a higher number, so that late states of an earlier one
+	// are recognised.
+	o.Settings.Self.Incarnation = uint64(time.Now().UnixMilli())<<incarnationRandomBits | rand.Uint64N(1<<incarnationRandomBits)
 	g := &Gateway{
 		options:     o,
 		settings:    o.Settings,
@@ -166,7 +173,8 @@
 	g.bodies.limit = o.Settings.MemoryBytes / bodyMemoryDivisor
 	g.pool.SetMaxHeadBytes(o.Settings.MaxResponseHeaderBytes)
 	g.SetBounds(o.Settings.Bounds)
-	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.applyView})
+	g.contacts.gateway = g
+	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.applyView, Contact: g.contacts.next})
 	g.metrics = g.newMetrics()
 	return g
 }
@@ -288,7 +296,8 @@
 		{"ready", func(context.Context) error { return ready.Serve(g.sockets.ready) }},
 		{"look-ups", func(context.Context) error { return lookup.Serve(g.sockets.lookup) }},
 		{"exchange", func(ctx context.Context) error { return g.exchange(ctx, g.sockets.peers) }},
-		{"peers", func(ctx context.Context) error { return g.sockets.peers.Receive(ctx, g.applyState) }},
+		{"peers", func(ctx context.Context) error { return g.sockets.peers.Receive(ctx, g.receiveState) }},
+		{"relay", g.relay},
 		{"peer calls", func(ctx context.Context) error { return g.sockets.peers.Serve(ctx, storeService{g}) }},
 		{"mirror", g.mirror.Run},
 		{"pool", g.pool.Run},
--- a/internal/fggateway/reports_test.go
+++ b/internal/fggateway/reports_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
+	"github.com/filbertgap/filbertgap/internal/transport/fglistener"
 )
 
 // rawUpstream registers an upstream that serves each connection with serve, which
@@ -243,6 +244,86 @@
 	}
 }
 
+// Guards against a stop that closes a kept connection on which it has just read a
+// request: the request is passed on, and its caller gets no response. Callers keep
+// sending on kept connections until these end; each request that the gateway has
+// handled must have got its response.
+func TestStopAnswersKeptConnections(t *testing.T) {
+	env := newTestEnv(t)
+	env.upstream("u1", func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		respond(rw, r)
+	})
+	for round := range 5 {
+		g := env.gateway(fmt.Sprintf("vm-%d", round), 1)
+		// The gateway stops accepting at once and does not ask callers to close
+		// their connections before.
+		servers := newCallerServers(g.sockets.callers, http.HandlerFunc(g.serveCaller), g.callerLimits, g.logger)
+		callers, err := fglistener.Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		servers.listener = callers
+		ended := make(chan error, 1)
+		go func() { ended <- servers.serve(t.Context()) }()
+		const count = 64
+		responses := make(chan int, count)
+		for range count {
+			go func() {
+				n := 0
+				defer func() { responses <- n }()
+				c, err := net.Dial("tcp", callers.Addr().String())
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for {
+					if _, err := io.WriteString(c, "GET /read/x HTTP/1.1\r\nHost: h.example\r\nT-Id: a\r\nT-Key: k\r\n\r\n"); err != nil {
+						return
+					}
+					res, err := http.ReadResponse(r, nil)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, res.Body); err != nil {
+						return
+					}
+					n++
+				}
+			}()
+		}
+		env.eventually("requests are served", func() bool { return g.handled(t) > 20*count })
+		if err := servers.Shutdown(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		total := 0
+		for range count {
+			total += <-responses
+		}
+		<-ended
+		if n := g.handled(t); n != total {
+			t.Errorf("%d requests were handled, and %d responses reached callers", n, total)
+		}
+	}
+}
+
+// handled returns how many requests have ended, by the metrics.
+func (r *testGateway) handled(t *testing.T) int {
+	t.Helper()
+	n := 0
+	for line := range strings.Lines(r.scrape(t)) {
+		var value int
+		if strings.HasPrefix(line, "filbertgap_gateway_requests_total{") {
+			if _, err := fmt.Sscan(line[strings.LastIndex(line, " ")+1:], &value); err != nil {
+				t.Fatal(err)
+			}
+			n += value
+		}
+	}
+	return n
+}
+
 // exchangeOnce sends one request on a new connection and reads its response.
 func exchangeOnce(c net.Conn) error {
 	defer func() { _ = c.Close() }()
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -15,6 +15,7 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	sends    *prometheus.CounterVec
+	peers    *prometheus.CounterVec
 }
 
 // GatewayCallbacks holds functions that return the current values of metrics. They
@@ -41,8 +42,10 @@
 			Help: "Time from a request's arrival to the end of its answer, refusals included.", Buckets: latencyBuckets}, []string{"route"}),
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_sends_total",
 			Help: "Requests handed to upstreams by group and how they ended."}, []string{"group", "result"}),
+		peers: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_peer_bytes_total",
+			Help: "Bytes sent to other gateways by kind and by how far they travel: zone, region, remote."}, []string{"kind", "reach"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.sends,
+	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers,
 		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return c.StoreAge().Seconds() }),
 		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(c.StoreRevision()) }),
 		gauge("gateway_policy_version", "Version of the policy in force.", func() float64 { return float64(c.PolicyVersion()) }),
@@ -77,5 +80,10 @@
 	m.latency.WithLabelValues(route).Observe(took.Seconds())
 }
 
+// PeerBytes records bytes that were sent to other gateways.
+func (m *Gateway) PeerBytes(kind, reach string, n int) {
+	m.peers.WithLabelValues(kind, reach).Add(float64(n))
+}
+
 // SendEnded records a send of a request to an upstream of a group.
 func (m *Gateway) SendEnded(group, result string) { m.sends.WithLabelValues(group, result).Inc() }
--- a/internal/state/fgsteer/view.go
+++ b/internal/state/fgsteer/view.go
@@ -1,9 +1,12 @@
 package fgsteer
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // UpstreamSpec describes an upstream as it registered itself.
@@ -43,6 +46,17 @@
 	Capacity float64
 }
 
+// CompareForDuty orders gateways by their fitness for work that one does for others:
+// those with the highest capacity first, since a slow link would delay the work and be
+// filled by it, and those with the same capacity by a hash of their names.
+func CompareForDuty(a, b MemberSpec) int {
+	return cmp.Or(
+		cmp.Compare(b.Capacity, a.Capacity),
+		cmp.Compare(xxhash.Sum64String(a.VM), xxhash.Sum64String(b.VM)),
+		cmp.Compare(a.VM, b.VM),
+	)
+}
+
 // View is a snapshot of the data by which requests are routed. It is immutable.
 type View struct {
 	revision int64
--- a/internal/transport/fggossip/socket.go
+++ b/internal/transport/fggossip/socket.go
@@ -47,22 +47,25 @@
 	return &Socket{udp: udp, tcp: tcp}, nil
 }
 
+// Close closes the socket and makes Receive and Serve return.
+func (s *Socket) Close() error { return errors.Join(s.udp.Close(), s.tcp.Close()) }
+
 // Address returns the address that peers use.
 func (s *Socket) Address() string { return s.tcp.Addr().String() }
 
-// Send sends a state to each address and returns the first error after trying
-// all of them. Datagrams may be lost without an error.
-func (s *Socket) Send(state *fgwire.GatewayState, addresses []*net.UDPAddr) error {
+// Send sends a state to each address and returns its size in bytes, and the first
+// error after trying all of them. Datagrams may be lost without an error.
+func (s *Socket) Send(state *fgwire.GatewayState, addresses []*net.UDPAddr) (int, error) {
 	data, err := proto.Marshal(state)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	for _, a := range addresses {
 		if _, sendErr := s.udp.WriteToUDP(data, a); sendErr != nil && err == nil {
 			err = sendErr
 		}
 	}
-	return err
+	return len(data), err
 }
 
 // Receive calls handle with each received state until the context is done. It
--- a/internal/transport/fglistener/connections.go
+++ b/internal/transport/fglistener/connections.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
@@ -20,6 +21,8 @@
 // Connections knows the open connections of an http.Server. The zero value is ready
 // to use.
 type Connections struct {
+	stopping atomic.Bool
+
 	mu   sync.Mutex
 	open map[net.Conn]connState
 }
@@ -45,16 +48,30 @@
 	c.open[conn] = connState{state: state, since: time.Now()}
 }
 
-// busy reports whether a connection carries a request or may be about to.
-func (c *Connections) busy() bool {
+// Handler returns a handler that closes each connection after its response once Stop
+// was called.
+func (c *Connections) Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// release ends the reads on connections that carry no request, which makes the server
+// close them. It returns the number of open connections. Closing such a connection
+// instead could cut off a request that the server has just read: a read deadline
+// fails only a read that has returned nothing.
+func (c *Connections) release() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, s := range c.open {
-		if s.state == http.StateActive || s.state == http.StateNew && time.Since(s.since) < newConnWait {
-			return true
+	for conn, s := range c.open {
+		if s.state == http.StateIdle || s.state == http.StateNew && time.Since(s.since) > newConnWait {
+			_ = conn.SetReadDeadline(time.Unix(1, 0))
 		}
 	}
-	return false
+	return len(c.open)
 }
 
 // Stop closes a server after the requests on its accepted connections have got their
@@ -62,9 +79,9 @@
 // connections. Shutdown of http.Server would drop a request that it reads after
 // Shutdown has begun, without a response.
 func (c *Connections) Stop(ctx context.Context, s *http.Server) error {
-	s.SetKeepAlivesEnabled(false)
+	c.stopping.Store(true)
 	var err error
-	for err == nil && c.busy() {
+	for err == nil && c.release() > 0 {
 		err = fgtimer.Wait(ctx, stopPollInterval)
 	}
 	_ = s.Close()
--- a/internal/transport/fglistener/draining_test.go
+++ b/internal/transport/fglistener/draining_test.go
@@ -41,7 +41,7 @@
 	}
 	conns := openQueued(t, l.Addr().String())
 	var open Connections
-	s := &http.Server{ConnState: open.Observe, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") })}
+	s := &http.Server{ConnState: open.Observe, Handler: open.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") }))}
 	ended := make(chan error, 1)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
--- a/internal/transport/fgpeer/listener.go
+++ b/internal/transport/fgpeer/listener.go
@@ -46,7 +46,11 @@
 	defer cancel()
 	httpListener := fglistener.New(l.Addr())
 	var open fglistener.Connections
-	httpServer := &http.Server{Handler: s.options.HTTP, ReadHeaderTimeout: handshakeTimeout, ConnState: open.Observe}
+	handler := s.options.HTTP
+	if handler == nil {
+		handler = http.DefaultServeMux
+	}
+	httpServer := &http.Server{Handler: open.Handler(handler), ReadHeaderTimeout: handshakeTimeout, ConnState: open.Observe}
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	var wg conc.WaitGroup
