--- a/internal/coordination/fgrelay/sequences.go
+++ b/internal/coordination/fgrelay/sequences.go
@@ -7,6 +7,9 @@
 // latest start.
 const positionLifetime = 5 * time.Second
 
+// maxSilence is how long a silent gateway is remembered.
+const maxSilence = time.Minute
+
 // Sequences tells new states from those that were received before, or that a frozen
 // relay or a slow link has kept until later ones arrived. The zero value is ready to
 // use. It is not safe for concurrent use.
@@ -36,10 +39,10 @@
 	return true
 }
 
-// Prune forgets gateways that have been silent for long.
+// Prune forgets gateways that have been silent for maxSilence.
 func (s *Sequences) Prune() {
 	for vm, p := range s.last {
-		if time.Since(p.received) > 12*positionLifetime {
+		if time.Since(p.received) > maxSilence {
 			delete(s.last, vm)
 		}
 	}
--- a/internal/fggateway/contacts.go
+++ b/internal/fggateway/contacts.go
@@ -5,12 +5,13 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmirror"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 	"github.com/filbertgap/filbertgap/internal/transport/fggossip"
-	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -22,8 +23,7 @@
 	contactAvoidTime = 5 * time.Second
 )
 
-// contacts chooses the gateway whose copy of the store this gateway follows. The zero
-// value is not usable: gateway must be set.
+// contacts chooses the gateway whose copy of the store this gateway follows.
 type contacts struct {
 	gateway *Gateway
 
--- a/internal/fggateway/relay.go
+++ b/internal/fggateway/relay.go
@@ -75,6 +75,9 @@
 	if v := g.mirror.View(); v != nil {
 		members = v.Members()
 	}
+	g.peers.mu.Lock()
+	g.peers.sequences.Prune()
+	g.peers.mu.Unlock()
 	p := g.newPlan(fgrelay.NewLayout(g.settings.Self, members, g.isAvailable))
 	g.plan.Store(p)
 	return p
--- a/internal/fggateway/reports_test.go
+++ b/internal/fggateway/reports_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/filbertgap/filbertgap/internal/fgstandin"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 	"github.com/filbertgap/filbertgap/internal/transport/fglistener"
 )
@@ -148,21 +149,12 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			env := newTestEnv(t)
-			ended := make(chan int, 10)
-			env.rawUpstream("u1", func(_ int, c net.Conn, r *bufio.Reader) {
-				_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10)
-				if _, err := readRequest(r); err != nil {
-					return
-				}
-				n, err := io.WriteString(c, tt.start)
-				block := []byte(strings.Repeat(tt.next, 4<<10))
-				for err == nil && n < 64<<20 {
-					var more int
-					more, err = c.Write(block)
-					n += more
-				}
-				ended <- n
-			})
+			endless, err := fgstandin.ListenEndless(tt.start, tt.next)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer endless.Close()
+			env.put("up/u1", fgsteer.UpstreamSpec{ID: "u1", Group: "g", Address: endless.Address(), Slots: 4, Region: "east"})
 			g := env.gateway("vm-1", 1)
 			start := time.Now()
 			res := g.mustCall(t, http.MethodPost, "/write/x", "T-Id", "a1")
@@ -172,7 +164,7 @@
 			if took := time.Since(start); took > 4*time.Second {
 				t.Errorf("the caller waited %s of its 5 s", took)
 			}
-			if n := <-ended; n > 2<<20 {
+			if n := endless.Taken(); n > 2<<20 {
 				t.Errorf("%d bytes were taken", n)
 			}
 			if !strings.HasPrefix(tt.name, "refusal") {
--- a/internal/transport/fgpool/endless_test.go
+++ b/internal/transport/fgpool/endless_test.go
@@ -11,37 +11,22 @@
 	"strings"
 	"testing"
 	"time"
-)
 
-const (
-	// maxTakenBytes is how much of an endless response may be taken from an
-	// upstream.
-	maxTakenBytes = 2 << 20
-	// endlessBytes is how much an endless upstream offers before it stops.
-	endlessBytes = 64 << 20
+	"github.com/filbertgap/filbertgap/internal/fgstandin"
 )
 
-// startEndlessUpstream starts a server that responds with start and then repeats
-// next until the connection is closed or endlessBytes were taken. The channel
-// receives how many bytes were taken.
-func startEndlessUpstream(t *testing.T, start, next string) (Target, <-chan int) {
+// maxTakenBytes is how much of an endless response may be taken from an upstream.
+const maxTakenBytes = 2 << 20
+
+// startEndless starts an upstream that responds without end.
+func startEndless(t *testing.T, start, next string) (*fgstandin.Endless, Target) {
 	t.Helper()
-	taken := make(chan int, 1)
-	target := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
-		_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10)
-		if _, err := readRequest(r); err != nil {
-			return
-		}
-		n, err := io.WriteString(c, start)
-		block := []byte(strings.Repeat(next, 1+(16<<10)/len(next)))
-		for err == nil && n < endlessBytes {
-			var more int
-			more, err = c.Write(block)
-			n += more
-		}
-		taken <- n
-	})
-	return target, taken
+	e, err := fgstandin.ListenEndless(start, next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e, Target{ID: "u", Address: e.Address()}
 }
 
 // Guards against an upstream in trouble whose bytes never end: they would be read
@@ -67,7 +52,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			target, taken := startEndlessUpstream(t, tt.start, tt.next)
+			endless, target := startEndless(t, tt.start, tt.next)
 			p := &Pool{}
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
@@ -84,7 +69,7 @@
 			if ctx.Err() != nil {
 				t.Error("the response was read until the deadline")
 			}
-			if n := <-taken; n > maxTakenBytes {
+			if n := endless.Taken(); n > maxTakenBytes {
 				t.Errorf("%d bytes were taken, want at most %d", n, maxTakenBytes)
 			}
 			// The upstream allocates its block of bytes in the same process.
@@ -107,7 +92,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			target, taken := startEndlessUpstream(t, tt.start, tt.next)
+			endless, target := startEndless(t, tt.start, tt.next)
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			var before, after runtime.MemStats
@@ -128,7 +113,7 @@
 			if n := after.TotalAlloc - before.TotalAlloc; n > maxTakenBytes {
 				t.Errorf("%d bytes were allocated, want at most %d", n, maxTakenBytes)
 			}
-			<-taken
+			endless.Taken()
 		})
 	}
 }
--- a/internal/transport/fgupstream/endless_test.go
+++ b/internal/transport/fgupstream/endless_test.go
@@ -7,9 +7,10 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
+
+	"github.com/filbertgap/filbertgap/internal/fgstandin"
 )
 
 // maxTakenBytes is how much of an endless response may be taken from an upstream.
@@ -28,36 +29,16 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			endless, err := fgstandin.ListenEndless(tt.start, tt.next)
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer func() { _ = listener.Close() }()
-			taken := make(chan int, 1)
-			go func() {
-				c, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = c.Close() }()
-				_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10)
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				n, err := io.WriteString(c, tt.start)
-				block := []byte(strings.Repeat(tt.next, 1+(16<<10)/len(tt.next)))
-				for err == nil && n < 64<<20 {
-					var more int
-					more, err = c.Write(block)
-					n += more
-				}
-				taken <- n
-			}()
+			defer endless.Close()
 			c := New(Options{})
 			defer c.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
-			_, outcome, err := c.RoundTrip(ctx, listener.Addr().String(), newRequest(t, http.MethodPost, "1", "order"))
+			_, outcome, err := c.RoundTrip(ctx, endless.Address(), newRequest(t, http.MethodPost, "1", "order"))
 			if tt.name == "refusal" {
 				if outcome != Refused {
 					t.Errorf("outcome %v, error %v", outcome, err)
@@ -68,7 +49,7 @@
 			if ctx.Err() != nil {
 				t.Error("the response was read until the deadline")
 			}
-			if n := <-taken; n > maxTakenBytes {
+			if n := endless.Taken(); n > maxTakenBytes {
 				t.Errorf("%d bytes were taken, want at most %d", n, maxTakenBytes)
 			}
 		})
