Name each gateway once in a look-up, and slow ones in fewer responses

Cause: addresses repeated in proportion to capacity make a caller whose gateway has died try the same one again. A region of up to four gateways names all of them once, as before the look-ups by capacity; in a larger one a gateway is named by a part of the responding ones.

Also comments and one name of the relays.

--- a/internal/coordination/fglookup/spread.go
+++ b/internal/coordination/fglookup/spread.go
@@ -1,6 +1,5 @@
-// Package fglookup decides which gateways a look-up response names, and how often it
-// names each. Callers pick an address of the response at random for each connection,
-// so that an address that stands there twice gets twice as many.
+// Package fglookup decides which gateways a look-up response names. Callers pick an
+// address of the response at random for each connection.
 package fglookup
 
 import (
@@ -18,6 +17,8 @@
 	// bytesPerRequest is the size of a request and its response on the VM's link, on
 	// average over requests with small and with large responses.
 	bytesPerRequest = 25_000
+	// minNamed is the number of gateways up to which all are named.
+	minNamed = 4
 )
 
 // Capacity returns how many requests per second a VM is fit for: the fewer of those
@@ -44,49 +45,82 @@
 	Capacity float64
 }
 
-// Spread returns at most n addresses. Each candidate is named in proportion to its
-// capacity, but at least once. It answers a fleet of unequal VMs under even load: a VM
-// with a slow link takes as many requests as one with a fast link, and its large
-// responses delay all others there.
+// Spread returns the addresses that the gateway with the address self names to callers
+// of a region, at most n, each once. A candidate is named by a part of the candidates
+// that is in proportion to its capacity, and by one at least. Each response names at
+// least minNamed, as far as there are that many, for callers that find one
+// unreachable.
 //
-// If there are more candidates than n, the choice among them depends on self, the
-// name of the responding VM, and is stable: callers close their connections to
-// addresses that a later response does not name.
+// It answers a fleet of unequal VMs under even load: a VM with a slow link takes as many
+// requests as one with a fast link, and its large responses delay all others there.
+//
+// The choice changes little when gateways come and go, because callers close their
+// connections to addresses that a later response does not name. Addresses are not
+// repeated in proportion: callers that try another one after a failure would try the
+// same gateway.
 func Spread(self string, candidates []Candidate, n int) []string {
-	chosen := slices.Clone(candidates)
-	setUnknownCapacities(chosen)
-	if len(chosen) > n {
-		chosen = sample(self, chosen, n)
+	all := slices.Clone(candidates)
+	setUnknownCapacities(all)
+	most := 0.0
+	for _, c := range all {
+		most = max(most, c.Capacity)
 	}
-	var total float64
-	for _, c := range chosen {
-		total += c.Capacity
+	var named, others []Candidate
+	for _, c := range all {
+		if c.isNamedBy(self, all, most) {
+			named = append(named, c)
+		} else {
+			others = append(others, c)
+		}
 	}
-	// Each candidate has one address. The others go one by one to the candidate that
-	// lacks most of its part.
-	counts := make([]int, len(chosen))
-	addresses := make([]string, 0, n)
-	for i, c := range chosen {
-		counts[i] = 1
-		addresses = append(addresses, c.Address)
+	if len(named) > n {
+		// With the arguments exchanged, the hash does not depend on the one that decided
+		// whether the candidate is named.
+		slices.SortFunc(named, func(a, b Candidate) int { return cmp.Compare(hash(a.Address, self), hash(b.Address, self)) })
+		named = named[:n]
 	}
-	for len(chosen) > 0 && len(addresses) < n {
-		most, missing := 0, math.Inf(-1)
-		for i, c := range chosen {
-			if m := c.Capacity/total*float64(n) - float64(counts[i]); m > missing {
-				most, missing = i, m
-			}
-		}
-		// When every candidate has its part, more addresses would only distort them.
-		if missing < 0.5 {
-			break
-		}
-		counts[most]++
-		addresses = append(addresses, chosen[most].Address)
+	if missing := minNamed - len(named); missing > 0 {
+		slices.SortFunc(others, func(a, b Candidate) int { return cmp.Compare(b.score(self), a.score(self)) })
+		named = append(named, others[:min(missing, len(others))]...)
+	}
+	addresses := make([]string, len(named))
+	for i, c := range named {
+		addresses[i] = c.Address
 	}
 	return addresses
 }
 
+// maxRanked is the number of candidates up to which the ones that name a candidate are
+// counted exactly. Above it, each names a candidate with the same probability, which
+// takes less time.
+const maxRanked = 64
+
+// isNamedBy reports whether a gateway names the candidate. In a region of few
+// candidates those with the lowest hashes do, as many as the capacity asks for.
+func (c Candidate) isNamedBy(self string, candidates []Candidate, most float64) bool {
+	part := c.Capacity / most
+	own := hash(self, c.Address)
+	if len(candidates) > maxRanked {
+		return own < part
+	}
+	lower := 0
+	for _, other := range candidates {
+		if other.Address != self && hash(other.Address, c.Address) < own {
+			lower++
+		}
+	}
+	return float64(lower) < max(1, math.Round(part*float64(len(candidates))))
+}
+
+// hash returns a number between 0 and 1, both excluded, for a candidate and the gateway
+// that may name it.
+func hash(self, candidate string) float64 {
+	return (float64(xxhash.Sum64String(self+"\x00"+candidate)>>11) + 0.5) / (1 << 53)
+}
+
+// score returns the candidate's score in weighted rendezvous hashing.
+func (c Candidate) score(self string) float64 { return -c.Capacity / math.Log(hash(self, c.Address)) }
+
 // setUnknownCapacities gives candidates without a capacity the average of the others.
 func setUnknownCapacities(candidates []Candidate) {
 	sum, known := 0.0, 0.0
@@ -106,16 +140,3 @@
 		}
 	}
 }
-
-// sample returns n candidates by weighted rendezvous hashing with their capacities as
-// weights, so that all responding VMs together name each in proportion to it.
-func sample(self string, candidates []Candidate, n int) []Candidate {
-	score := func(c Candidate) float64 {
-		h := xxhash.Sum64String(self + "\x00" + c.Address)
-		unit := (float64(h>>11) + 0.5) / (1 << 53)
-		return -c.Capacity / math.Log(unit)
-	}
-	sorted := slices.Clone(candidates)
-	slices.SortFunc(sorted, func(a, b Candidate) int { return cmp.Compare(score(b), score(a)) })
-	return sorted[:n]
-}
--- a/internal/coordination/fgmirror/contact.go
+++ b/internal/coordination/fgmirror/contact.go
@@ -60,7 +60,7 @@
 	if size <= maxDirectMembers {
 		return nil
 	}
-	slices.SortFunc(candidates, fgsteer.CompareForDuty)
+	slices.SortFunc(candidates, fgsteer.CompareCapacity)
 	return candidates[:min(len(candidates), contactsPerZone)]
 }
 
--- a/internal/coordination/fgrelay/layout.go
+++ b/internal/coordination/fgrelay/layout.go
@@ -3,8 +3,9 @@
 // their region only. A few relays of each region send the states of their region to
 // relays of the other regions. These pass them on to the gateways of their own
 // availability zone, and to two gateways of each other zone of the region, which do
-// the same there. States are passed on unchanged, with their origin and sequence, so that receiving one twice, late or
-// through several relays counts its use once.
+// the same there. States are passed on unchanged, with their origin and sequence, so
+// that the use in a state counts once if it arrives twice, late or through several
+// relays.
 //
 // No relay is elected: each gateway computes them from the registered gateways and
 // from those that it has heard lately. If two gateways see different relays, states
@@ -29,7 +30,8 @@
 	distributorsPerZone = 2
 )
 
-// Layout states who receives which states from one gateway.
+// Layout holds the receivers of one gateway's own state and of the states that it
+// passes on.
 type Layout struct {
 	self    fgsteer.MemberSpec
 	members map[string]fgsteer.MemberSpec
@@ -91,20 +93,20 @@
 		}
 	}
 	for _, candidates := range byZone {
-		slices.SortFunc(candidates, fgsteer.CompareForDuty)
+		slices.SortFunc(candidates, fgsteer.CompareCapacity)
 		distributors = append(distributors, candidates[:min(len(candidates), distributorsPerZone)]...)
 	}
 	return zone, distributors
 }
 
-// chooseRelays returns the relays of a region: the available gateway that is fittest,
-// and the next one in another availability zone, or else the next one.
+// chooseRelays returns the relays of a region: the available gateway with the highest
+// capacity, and the next one in another availability zone, or else the next one.
 func chooseRelays(candidates []fgsteer.MemberSpec, isAvailable func(vm string) bool) []fgsteer.MemberSpec {
 	available := slices.DeleteFunc(slices.Clone(candidates), func(m fgsteer.MemberSpec) bool { return !isAvailable(m.VM) })
 	if len(available) == 0 {
 		available = slices.Clone(candidates)
 	}
-	slices.SortFunc(available, fgsteer.CompareForDuty)
+	slices.SortFunc(available, fgsteer.CompareCapacity)
 	relays := available[:1]
 	for len(relays) < min(relaysPerRegion, len(available)) {
 		next := slices.IndexFunc(available, func(m fgsteer.MemberSpec) bool {
@@ -144,12 +146,13 @@
 func (l Layout) Zone() []fgsteer.MemberSpec         { return l.zone }
 func (l Layout) Distributors() []fgsteer.MemberSpec { return l.distributors }
 
-// Distribution states to whom a gateway passes on states that it has received.
+// Distribution is the set of gateways to which received states are passed on.
 type Distribution int
 
 // The distributions of states.
 const (
-	// NoDistribution is that of states from the own zone or an unknown gateway.
+	// NoDistribution passes on nothing. It applies to states from the own zone and from
+	// unknown gateways.
 	NoDistribution Distribution = iota
 	// ToZone passes states from another zone of the region on to the own zone.
 	ToZone
@@ -158,7 +161,7 @@
 	ToRegion
 )
 
-// DistributionFrom returns to whom states of a sender are passed on.
+// DistributionFrom returns the distribution of states that a sender has passed on.
 func (l Layout) DistributionFrom(sender string) Distribution {
 	m, ok := l.members[sender]
 	switch {
--- a/internal/fggateway/lookup.go
+++ b/internal/fggateway/lookup.go
@@ -40,7 +40,7 @@
 }
 
 // addresses returns the addresses of the available gateways in the caller's region,
-// or in all regions if it has none, in proportion to their capacities. Requests of a route that is restricted to regions
+// or in all regions if it has none, with those of higher capacity in more responses. Requests of a route that is restricted to regions
 // therefore do not enter through another region while the caller's own has a gateway.
 func (g *Gateway) addresses(v *fgsteer.View, query fgmessage.Lookup) []string {
 	var sameRegion, all []fglookup.Candidate
@@ -60,5 +60,5 @@
 	if len(all) == 0 && !g.leaving.Load() {
 		all = []fglookup.Candidate{{Address: g.settings.Self.CallerAddress}}
 	}
-	return fglookup.Spread(g.settings.Self.VM, all, maxAddresses)
+	return fglookup.Spread(g.settings.Self.CallerAddress, all, maxAddresses)
 }
--- a/internal/fggateway/relay.go
+++ b/internal/fggateway/relay.go
@@ -17,8 +17,8 @@
 
 const (
 	// relayInterval is how often a relay sends the states that it has received. It
-	// delays a state on its way to another region by at most that, and with 100 ms
-	// a rate is exceeded in a fleet of 118 gateways.
+	// bounds the delay of a state at a relay, for which gateways of other regions
+	// admit requests above a rate.
 	relayInterval = 50 * time.Millisecond
 	// maxBatchBytes keeps a datagram with the states of several gateways below the
 	// usual MTU.
@@ -33,7 +33,7 @@
 	reachUnknown = "unknown"
 )
 
-// receivers are the addresses of gateways, and how many of them are how far away.
+// receivers are the addresses of gateways, with their number for each reach.
 type receivers struct {
 	addresses []*net.UDPAddr
 	reach     map[string]int
@@ -69,7 +69,7 @@
 	peers, zone, region receivers
 }
 
-// updatePlan computes to whom states are sent.
+// updatePlan recomputes the receivers of states from the current view.
 func (g *Gateway) updatePlan() *exchangePlan {
 	var members []fgsteer.MemberSpec
 	if v := g.mirror.View(); v != nil {
--- a/internal/state/fgsteer/view.go
+++ b/internal/state/fgsteer/view.go
@@ -46,10 +46,10 @@
 	Capacity float64
 }
 
-// CompareForDuty orders gateways by their fitness for work that one does for others:
-// those with the highest capacity first, since a slow link would delay the work and be
-// filled by it, and those with the same capacity by a hash of their names.
-func CompareForDuty(a, b MemberSpec) int {
+// CompareCapacity orders gateways by descending capacity, and those of equal capacity by
+// a hash of their names. Work that one gateway does for others goes to the first: on a
+// slow link it would be late and delay the gateway's own responses.
+func CompareCapacity(a, b MemberSpec) int {
 	return cmp.Or(
 		cmp.Compare(b.Capacity, a.Capacity),
 		cmp.Compare(xxhash.Sum64String(a.VM), xxhash.Sum64String(b.VM)),
