Count what a client reads of an endless response

The server counted what it could write, which includes up to 6 MB in the client's kernel buffer while the client is slow; the client reads at most 4 MB of a body.

--- a/internal/fgstandin/endless.go
+++ b/internal/fgstandin/endless.go
@@ -1,8 +1,10 @@
 package fgstandin
 
 import (
+	"context"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -70,3 +72,35 @@
 
 // Close stops accepting connections.
 func (e *Endless) Close() { _ = e.listener.Close() }
+
+// CountingDialer counts the bytes that a client reads from its connections. Unlike what
+// a server has written, they do not include those that the kernel holds.
+type CountingDialer struct {
+	net.Dialer
+
+	read atomic.Int64
+}
+
+// DialContext opens a connection.
+func (d *CountingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, read: &d.read}, nil
+}
+
+// BytesRead returns how many bytes were read.
+func (d *CountingDialer) BytesRead() int64 { return d.read.Load() }
+
+type countingConn struct {
+	net.Conn
+
+	read *atomic.Int64
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.read.Add(int64(n))
+	return n, err
+}
--- a/pkg/fgclient/endless_test.go
+++ b/pkg/fgclient/endless_test.go
@@ -1,9 +1,11 @@
 package fgclient
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
 )
 
 // Guards against a VM in trouble whose response never ends and is held in memory.
@@ -24,12 +26,14 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			var dialer fgstandin.CountingDialer
+			c.client.Transport.(*http.Transport).DialContext = dialer.DialContext
 			if lookup, err := c.Lookup(t.Context()); err == nil {
 				t.Errorf("the look-up returned %d VMs", len(lookup.VMs))
 			}
-			// A look-up response of 1 MB is read before it is given up.
-			if n := endless.Taken(); n > 4<<20 {
-				t.Errorf("%d bytes were taken", n)
+			// Of a response, the head, the body and what fills the read buffer are read.
+			if n := dialer.BytesRead(); n > maxLookupBytes+2*fgheader.MaxResponseBytes {
+				t.Errorf("%d bytes were read, want at most %d", n, maxLookupBytes+2*fgheader.MaxResponseBytes)
 			}
 		})
 	}
