Call one piece of code where the change had written two

- elapsedSince stood in fgentry and again in fgrelay: both call fgtimer.Since.
- Layout kept the gateways of its region in a field that only NewLayout reads.
- isAvailable looked at every gateway to answer for one, so that a layout took the square of the fleet; a gateway that was just heard needs no look at the others.
- A gateway that all name in look-ups is not ranked first.

Behaviour and assertions are the same.

--- a/internal/coordination/fglookup/spread.go
+++ b/internal/coordination/fglookup/spread.go
@@ -103,13 +103,17 @@
 	if len(candidates) > maxRanked {
 		return own < part
 	}
+	namedBy := max(1, int(math.Round(part*float64(len(candidates)))))
+	if namedBy == len(candidates) {
+		return true
+	}
 	lower := 0
 	for _, other := range candidates {
 		if other.Address != self && hash(other.Address, c.Address) < own {
 			lower++
 		}
 	}
-	return float64(lower) < max(1, math.Round(part*float64(len(candidates))))
+	return lower < namedBy
 }
 
 // hash returns a number between 0 and 1, both excluded, for a candidate and the gateway
--- a/internal/coordination/fgrelay/layout.go
+++ b/internal/coordination/fgrelay/layout.go
@@ -37,7 +37,6 @@
 	members map[string]fgsteer.MemberSpec
 	// peers get the own state.
 	peers              []fgsteer.MemberSpec
-	region             []fgsteer.MemberSpec
 	zone, distributors []fgsteer.MemberSpec
 	// relays are those of each other region. index is this gateway's place among the
 	// relays of its own, if isRelay is set.
@@ -51,14 +50,14 @@
 func NewLayout(self fgsteer.MemberSpec, members []fgsteer.MemberSpec, isAvailable func(vm string) bool) Layout {
 	l := Layout{self: self, members: make(map[string]fgsteer.MemberSpec, len(members))}
 	byRegion := map[string][]fgsteer.MemberSpec{}
-	var others []fgsteer.MemberSpec
+	var others, region []fgsteer.MemberSpec
 	for _, m := range members {
 		l.members[m.VM] = m
 		byRegion[m.Region] = append(byRegion[m.Region], m)
 		if m.VM != self.VM {
 			others = append(others, m)
 			if m.Region == self.Region {
-				l.region = append(l.region, m)
+				region = append(region, m)
 			}
 		}
 	}
@@ -66,11 +65,11 @@
 		l.peers = others
 		return l
 	}
-	l.peers = l.region
-	l.zone, l.distributors = distribution(self, l.region, isAvailable)
-	for region, candidates := range byRegion {
+	l.peers = region
+	l.zone, l.distributors = distribution(self, region, isAvailable)
+	for name, candidates := range byRegion {
 		relays := chooseRelays(candidates, isAvailable)
-		if region != self.Region {
+		if name != self.Region {
 			l.relays = append(l.relays, relays)
 			continue
 		}
--- a/internal/coordination/fgrelay/queue.go
+++ b/internal/coordination/fgrelay/queue.go
@@ -1,6 +1,10 @@
 package fgrelay
 
-import "time"
+import (
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
+)
 
 const (
 	// maxQueueAge is how old a state may be when it is passed on. An older one has
@@ -35,7 +39,7 @@
 	var batches [][]T
 	size := 0
 	for _, item := range q.items {
-		if elapsedSince(item.added) > maxQueueAge {
+		if fgtimer.Since(item.added) > maxQueueAge {
 			continue
 		}
 		if len(batches) == 0 || size+item.size > maxBytes {
@@ -50,10 +54,3 @@
 	q.items = q.items[:0]
 	return batches
 }
-
-// elapsedSince returns the time since t by the monotonic or the wall clock, whichever
-// is longer. The monotonic clock stands still while a VM is suspended.
-func elapsedSince(t time.Time) time.Duration {
-	now := time.Now()
-	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
-}
--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -12,6 +12,7 @@
 	"github.com/filbertgap/filbertgap/internal/protocol/fgkey"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
 	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
+	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 	"github.com/filbertgap/filbertgap/internal/transport/fgupstream"
 )
 
@@ -236,7 +237,7 @@
 		// taken.
 		limit += maxAdmissionAge
 	}
-	if elapsedSince(c.admittedAt) <= limit {
+	if fgtimer.Since(c.admittedAt) <= limit {
 		return nil
 	}
 	if c.key != nil {
@@ -258,14 +259,6 @@
 	return nil
 }
 
-// elapsedSince returns the time since t by the monotonic or the wall clock,
-// whichever is longer. The monotonic clock stands still while a VM is
-// suspended.
-func elapsedSince(t time.Time) time.Duration {
-	now := time.Now()
-	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
-}
-
 // outgoing returns the request to send to a target: without the hop-by-hop
 // fields of the caller's connection and without the caller's key.
 func (c *call) outgoing(r *http.Request) *http.Request {
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -141,18 +141,26 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	timeout := silentTimeout * time.Duration(max(1, g.exchangeInterval()/minExchangeInterval))
-	anyRecent := false
-	for _, s := range p.states {
-		anyRecent = anyRecent || time.Since(s.received) < timeout
-	}
 	s, ok := p.states[vm]
-	if !anyRecent {
+	switch {
+	case ok && time.Since(s.received) < timeout, !p.anyReceivedWithin(timeout):
 		return !s.leaving
-	}
-	if !ok {
+	case !ok:
 		return time.Since(p.firstReceived) < timeout
+	default:
+		return false
+	}
+}
+
+// anyReceivedWithin reports whether any gateway has sent its state within a duration.
+// p.mu is held.
+func (p *peers) anyReceivedWithin(d time.Duration) bool {
+	for _, s := range p.states {
+		if time.Since(s.received) < d {
+			return true
+		}
 	}
-	return !s.leaving && time.Since(s.received) < timeout
+	return false
 }
 
 // isBehind reports whether a peer has had a newer copy of the store for so long that
--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -580,15 +580,7 @@
 	g := env.gateway("vm-1", 1)
 	g.mustCall(t, http.MethodGet, "/read/x")
 	g.mustCall(t, http.MethodGet, "/read/x", "T-Key", "other")
-	res, err := http.Get("http://" + g.sockets.metrics.Addr().String() + "/metrics")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = res.Body.Close() }()
-	text, err := io.ReadAll(res.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
+	text := g.scrape(t)
 	for _, line := range []string{
 		`filbertgap_gateway_requests_total{end="answered",route="read"} 1`,
 		`filbertgap_gateway_requests_total{end="key-unknown",route="read"} 1`,
@@ -597,7 +589,7 @@
 		`filbertgap_gateway_policy_version 1`,
 		`filbertgap_gateway_upstreams 1`,
 	} {
-		if !strings.Contains(string(text), line+"\n") {
+		if !strings.Contains(text, line+"\n") {
 			t.Errorf("the metrics lack %s", line)
 		}
 	}
--- a/internal/fggateway/lookup.go
+++ b/internal/fggateway/lookup.go
@@ -39,9 +39,10 @@
 	return r
 }
 
-// addresses returns the addresses of the available gateways in the caller's region,
-// or in all regions if it has none, with those of higher capacity in more responses. Requests of a route that is restricted to regions
-// therefore do not enter through another region while the caller's own has a gateway.
+// addresses returns the addresses of available gateways in the caller's region, or in
+// all regions if it has none; gateways of higher capacity are in more responses.
+// Requests of a route that is restricted to regions therefore do not enter through
+// another region while the caller's own has a gateway.
 func (g *Gateway) addresses(v *fgsteer.View, query fgmessage.Lookup) []string {
 	var sameRegion, all []fglookup.Candidate
 	for _, m := range v.Members() {
--- a/internal/state/fgtimer/timer.go
+++ b/internal/state/fgtimer/timer.go
@@ -1,4 +1,5 @@
-// Package fgtimer provides waits that a context can interrupt.
+// Package fgtimer provides waits that a context can interrupt, and times that include
+// those in which a VM is suspended.
 package fgtimer
 
 import (
@@ -21,3 +22,10 @@
 		return nil
 	}
 }
+
+// Since returns the time since t by the monotonic or the wall clock, whichever is
+// longer. The monotonic clock stands still while a VM is suspended.
+func Since(t time.Time) time.Duration {
+	now := time.Now()
+	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
+}
