--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -209,8 +209,12 @@
 	env.t.Helper()
 	g := env.startGateway(vm)
 	env.eventually("the gateway is ready", func() bool {
+		// The view is nil until the gateway is ready.
+		if !g.isReady() {
+			return false
+		}
 		v := g.mirror.View()
-		return g.isReady() && len(v.Upstreams("g")) == upstreams && len(v.Members()) > 0
+		return len(v.Upstreams("g")) == upstreams && len(v.Members()) > 0
 	})
 	// Requests add to the retry budget, which is empty at first.
 	for range 100 {
