Measure the age of a gateway's copy of the store

Operators reported changes in force late. A gateway that hears nothing from its watch call shows a small store age all the while, since renewals of its lease succeed, and no log line says how long a failed call took. So a watch without a response, a late response and a kept deletion could not be told apart from logs or metrics.

New: metric filbertgap_gateway_store_copy_age_seconds, field copyAgeMs of request lines, and the line "following the store failed" with the time that the call took. The stand-in store can lose the responses to watch calls (Mute).

No change of behaviour. TestCopyAgeGrowsWithoutWatchResponse covers the metric.

--- a/internal/coordination/fgmirror/contact.go
+++ b/internal/coordination/fgmirror/contact.go
@@ -92,7 +92,9 @@
 	}
 	if !changes.Fresh {
 		c.Failed("it does not follow the store")
+		return
 	}
+	m.recordCurrent()
 }
 
 // setDirect records whether the copy follows the store itself.
--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -90,6 +90,8 @@
 	// epoch is an hour before New, so that Age is large until a call succeeds.
 	epoch       time.Time
 	lastSuccess atomic.Int64
+	// lastCurrent is when the copy was last known to hold all changes, in the same unit.
+	lastCurrent atomic.Int64
 
 	mu sync.Mutex
 	// unreachable is set while calls to the store fail. graceEnd is deletionGrace
@@ -142,6 +144,15 @@
 	return time.Since(m.epoch) - time.Duration(m.lastSuccess.Load())
 }
 
+// CopyAge returns the time since the copy was last known to hold all changes of the
+// store. Unlike Age, it grows while calls other than those for changes succeed.
+func (m *Mirror) CopyAge() time.Duration {
+	return time.Since(m.epoch) - time.Duration(m.lastCurrent.Load())
+}
+
+// recordCurrent records that the copy holds all changes of the store.
+func (m *Mirror) recordCurrent() { m.lastCurrent.Store(int64(time.Since(m.epoch))) }
+
 // Recovering reports whether an outage of the store ended less than
 // deletionGrace ago, so that entries whose leases expired in it may be
 // registered again.
@@ -155,6 +166,7 @@
 func (m *Mirror) Run(ctx context.Context) error {
 	loaded := false
 	for ctx.Err() == nil {
+		start := time.Now()
 		err := m.step(ctx, &loaded)
 		switch {
 		case err == nil, ctx.Err() != nil:
@@ -163,6 +175,8 @@
 			loaded = false
 		default:
 			m.RecordFailure(err)
+			m.options.Logger.Info("following the store failed", "error", err.Error(), "tookMs", time.Since(start).Milliseconds(),
+				"copyAgeMs", m.CopyAge().Milliseconds(), "revision", m.Revision())
 			_ = fgtimer.Wait(ctx, retryDelay+rand.N(retryDelay))
 		}
 	}
@@ -179,6 +193,7 @@
 		m.RecordSuccess()
 		m.setDirect(true)
 		m.Replace(values, revision, m.Recovering())
+		m.recordCurrent()
 		*loaded = true
 		return nil
 	}
@@ -196,9 +211,11 @@
 	m.RecordSuccess()
 	if len(events) == 0 {
 		m.advance(revision)
+		m.recordCurrent()
 		return nil
 	}
 	m.apply(events, revision, m.Recovering())
+	m.recordCurrent()
 	return fgtimer.Wait(ctx, m.BatchWait())
 }
 
--- a/internal/coordination/fgmirror/mirror_test.go
+++ b/internal/coordination/fgmirror/mirror_test.go
@@ -216,6 +216,25 @@
 	})
 }
 
+// Guards against a gateway whose metrics show a reachable store while it hears of no
+// change, since renewals of its lease succeed.
+func TestCopyAgeGrowsWithoutWatchResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fgstandin.NewFeed()
+		f.Put("up/a", "")
+		m := start(t, f)
+		f.Put("up/a", "")
+		synctest.Wait()
+		f.Mute(true)
+		const muted = 2 * time.Second
+		time.Sleep(muted)
+		m.RecordSuccess()
+		if m.Age() != 0 || m.CopyAge() != muted {
+			t.Errorf("the store is known to respond for %v, and the copy to be current for %v; want 0 and %v", m.Age(), m.CopyAge(), muted)
+		}
+	})
+}
+
 // Guards against repeated reads of all entries: each call to the store counts
 // against its rate limit and is billed.
 func TestStoreReadOnce(t *testing.T) {
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -244,5 +244,5 @@
 	}
 	g.logger.Info("request ended", "attempt", q.AttemptID, "status", status, "code", c, "reason", reason, "route", routeName,
 		"workspace", workspace, "group", q.group, "object", q.AffinityKey, "upstream", upstream, "sends", q.sends, "ms", took.Milliseconds(),
-		"policy", version, "revision", revision, "storeAgeMs", g.mirror.Age().Milliseconds(), "skippedLines", skipped)
+		"policy", version, "revision", revision, "storeAgeMs", g.mirror.Age().Milliseconds(), "copyAgeMs", g.mirror.CopyAge().Milliseconds(), "skippedLines", skipped)
 }
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -22,6 +22,7 @@
 // are called at each scrape.
 type GatewayCallbacks struct {
 	StoreAge          func() time.Duration
+	StoreCopyAge      func() time.Duration
 	StoreRevision     func() uint64
 	PolicyVersion     func() int64
 	Members           func() int
@@ -47,6 +48,7 @@
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers,
 		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return c.StoreAge().Seconds() }),
+		gauge("gateway_store_copy_age_seconds", "Time since the copy of the store was last known to hold all changes.", func() float64 { return c.StoreCopyAge().Seconds() }),
 		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(c.StoreRevision()) }),
 		gauge("gateway_policy_version", "Version of the policy in force.", func() float64 { return float64(c.PolicyVersion()) }),
 		gauge("gateway_members", "Registered gateways.", func() float64 { return float64(c.Members()) }),
--- a/internal/fgstandin/feed.go
+++ b/internal/fgstandin/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -11,7 +12,7 @@
 var _ fgstore.Feed = (*Feed)(nil)
 
 // Feed is an in-memory key-value store that implements the interface which
-// gateways use. Fail, Compact and ExpireLeases cause faults.
+// gateways use. Fail, Mute, Compact and ExpireLeases cause faults.
 type Feed struct {
 	mu     sync.Mutex
 	values map[string]fgstore.Value
@@ -21,6 +22,8 @@
 	oldest   uint64
 	// failure is the error set by Fail.
 	failure error
+	// muted is set by Mute.
+	muted bool
 	// leases holds the keys of each lease.
 	leases map[int64][]string
 	lastID int64
@@ -75,6 +78,15 @@
 	f.notify()
 }
 
+// Mute makes WatchEvents never respond to the calls that begin until it is called with
+// false, like a store whose responses are lost while its connections stay open. All
+// other calls succeed.
+func (f *Feed) Mute(muted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.muted = muted
+}
+
 // Compact drops the events so far, as the compaction of a store does.
 func (f *Feed) Compact() {
 	f.mu.Lock()
@@ -103,7 +115,12 @@
 	timeout := time.After(wait)
 	f.mu.Lock()
 	f.watchCalls++
+	muted := f.muted
 	f.mu.Unlock()
+	if muted {
+		<-ctx.Done()
+		return nil, 0, fmt.Errorf("%w: %w", fgstore.ErrUnknown, ctx.Err())
+	}
 	for {
 		f.mu.Lock()
 		if f.failure != nil {
