Add a failing test of a watch response that is lost

Callers were handled by an old policy, and upstreams that had said that they leave got requests, up to 11.5 s after an outage of the store. The test replays it against the stand-in: a watch call begins while responses are lost, and a later change is not in force within 3 s.

--- a/internal/coordination/fgmirror/mirror_test.go
+++ b/internal/coordination/fgmirror/mirror_test.go
@@ -216,6 +216,31 @@
 	})
 }
 
+// maxChangeDelay is the time within which a change must be in force.
+const maxChangeDelay = 3 * time.Second
+
+// Guards against changes that are in force late because the response to a watch call
+// was lost while its connection stays open.
+func TestLostWatchResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fgstandin.NewFeed()
+		f.Put("up/a", "")
+		m := start(t, f)
+		f.Mute(true)
+		f.Put("up/b", "")
+		waitForBatch()
+		f.Mute(false)
+		f.Put("policy", "xxx")
+		f.Put("up/b", "draining")
+		time.Sleep(maxChangeDelay)
+		synctest.Wait()
+		expectUpstreams(t, m, "a", "b")
+		if v := m.View(); v.Policy() == nil || v.Policy().Version() != 3 || !v.Upstreams("g")[1].Spec().Draining {
+			t.Errorf("policy %v, upstreams %v: want version 3 and a draining b", v.Policy(), v.Groups()["g"])
+		}
+	})
+}
+
 // Guards against a gateway whose metrics show a reachable store while it hears of no
 // change, since renewals of its lease succeed.
 func TestCopyAgeGrowsWithoutWatchResponse(t *testing.T) {
