Bound the time for which a lost watch response delays changes

What callers saw: after an outage of the store they were handled by an old policy, and upstreams that had said that they leave got requests, for up to 11.5 s.

Cause: a watch call that reaches a silent store is never answered, while its connection stays open and keep-alive probes succeed. Its timeout followed from the wait for changes, 10 s and 1.5 s, not from the time within which a change must be in force. Leases are renewed on other connections, so that the store counts as reachable. With a change shortly before the outage all gateways call again within it, and no peer has a newer copy.

Change: a watch waits for 1.5 s, and its call ends after 2.5 s. The pause after a failed call counts from its beginning, so that the next one follows within 0.25 s.

--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -20,10 +20,12 @@
 )
 
 const (
-	// longPollWait is how long the store holds a watch call open without a
-	// change. It is long because each call is billed; keep-alive probes detect a
-	// dead connection sooner.
-	longPollWait = 10 * time.Second
+	// longPollWait is how long the store holds a watch call open without a change.
+	longPollWait = 1500 * time.Millisecond
+	// watchTimeout is the timeout of a watch call. A response can be lost while the
+	// connection stays open, which keep-alive probes do not show. Together with the
+	// next call it stays below the time within which a change must take effect.
+	watchTimeout = longPollWait + time.Second
 	// minBatchWait and maxBatchWait bound the pause between two watch calls, in
 	// which changes accumulate: each watch response costs one call on every VM.
 	// The pause grows by batchWaitPerMember because all members share the store's
@@ -32,8 +34,8 @@
 	minBatchWait       = 150 * time.Millisecond
 	maxBatchWait       = 500 * time.Millisecond
 	batchWaitPerMember = 15 * time.Millisecond
-	// retryDelay is the minimum time between calls to a store that fails. Run adds
-	// up to the same time at random.
+	// retryDelay is the minimum time between the beginnings of calls to a store that
+	// fails. Run adds up to the same time at random.
 	retryDelay = 250 * time.Millisecond
 	// maxWarnings bounds how many different warnings about policies are logged.
 	maxWarnings = 100
@@ -177,7 +179,7 @@
 			m.RecordFailure(err)
 			m.options.Logger.Info("following the store failed", "error", err.Error(), "tookMs", time.Since(start).Milliseconds(),
 				"copyAgeMs", m.CopyAge().Milliseconds(), "revision", m.Revision())
-			_ = fgtimer.Wait(ctx, retryDelay+rand.N(retryDelay))
+			_ = fgtimer.Wait(ctx, max(0, retryDelay-time.Since(start))+rand.N(retryDelay))
 		}
 	}
 	return ctx.Err()
@@ -204,7 +206,7 @@
 		}
 	}
 	m.setDirect(true)
-	events, revision, err := m.options.Feed.WatchEvents(ctx, "", m.Revision(), longPollWait)
+	events, revision, err := m.watch(ctx)
 	if err != nil {
 		return err
 	}
@@ -219,6 +221,13 @@
 	return fgtimer.Wait(ctx, m.BatchWait())
 }
 
+// watch waits for the next changes, at most for watchTimeout.
+func (m *Mirror) watch(ctx context.Context) ([]fgstore.Event, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	return m.options.Feed.WatchEvents(ctx, "", m.Revision(), longPollWait)
+}
+
 // BatchWait returns the pause between a watch response and the next watch call.
 func (m *Mirror) BatchWait() time.Duration {
 	v := m.View()
