Tell an outage of the store from failures of this gateway's calls

What callers saw: requests reached upstreams that had left, up to 2 s after the gateway had read of it.

Cause: each success after a failed call counted as the end of an outage of the store, in which entries may have expired, so that deletions of the next 2 s were kept.

Change: an outage is 2 s in which the store responds to no gateway. States already say how long ago it responded to their gateway.

Tests: both rows of TestDeletionAfterOwnFailuresIsNotKept failed before. TestOutageEndsForAllGateways guards the entries of live upstreams, and passed before.

--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -42,6 +42,10 @@
 	// deletionGrace is how long entries that were deleted during an outage of the
 	// store are kept after it ends. Their owners register again within about 2 s.
 	deletionGrace = 2 * time.Second
+	// minOutage is the time without a response to any gateway that counts as an outage
+	// of the store. A gateway that is alone renews its lease more often, and an entry
+	// expires later.
+	minOutage = 2 * time.Second
 )
 
 // Codec decodes the entries of the store.
@@ -96,12 +100,15 @@
 	lastCurrent atomic.Int64
 
 	mu sync.Mutex
-	// unreachable is set while calls to the store fail. graceEnd is deletionGrace
-	// after the end of the last outage.
+	// unreachable is set while this gateway's calls to the store fail.
 	unreachable bool
-	graceEnd    time.Time
-	entries     map[string]*entry
-	policy      *fgsteer.Policy
+	// lastResponse is when the store last responded to any gateway, as far as known.
+	// It is zero until it has responded to this one. graceEnd is deletionGrace after
+	// the end of the last outage.
+	lastResponse time.Time
+	graceEnd     time.Time
+	entries      map[string]*entry
+	policy       *fgsteer.Policy
 	// warned holds the warnings about policies that were logged.
 	warned         map[string]bool
 	revision       uint64
@@ -126,9 +133,35 @@
 	defer m.mu.Unlock()
 	if m.unreachable {
 		m.unreachable = false
-		m.graceEnd = time.Now().Add(deletionGrace)
 		m.options.Logger.Info("platform store reachable again", "revision", m.revision)
 	}
+	now := time.Now()
+	if m.lastResponse.IsZero() {
+		m.lastResponse = now
+	}
+	m.recordResponse(now)
+}
+
+// RecordResponse records that the store responded to a call of another gateway at a
+// time. Calls of this one that fail meanwhile are no sign of an outage.
+func (m *Mirror) RecordResponse(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.lastResponse.IsZero() {
+		m.recordResponse(at)
+	}
+}
+
+// recordResponse notices the end of an outage of the store. m.mu is held.
+func (m *Mirror) recordResponse(at time.Time) {
+	silent := at.Sub(m.lastResponse)
+	if silent >= minOutage {
+		m.graceEnd = at.Add(deletionGrace)
+		m.options.Logger.Info("outage of the platform store ended", "silentMs", silent.Milliseconds(), "revision", m.revision)
+	}
+	if silent > 0 {
+		m.lastResponse = at
+	}
 }
 
 // RecordFailure records that a call to the store failed.
--- a/internal/coordination/fgmirror/mirror_test.go
+++ b/internal/coordination/fgmirror/mirror_test.go
@@ -241,6 +241,74 @@
 	})
 }
 
+// Guards against upstreams that left and still get requests because a call that failed
+// after the outage, or this gateway's own failures, counted as an outage of the store in
+// which their entries may have expired.
+func TestDeletionAfterOwnFailuresIsNotKept(t *testing.T) {
+	tests := []struct {
+		name string
+		// fail removes "up/a" and returns renewInterval later.
+		fail func(f *fgstandin.Feed, m *Mirror)
+	}{
+		{"a watch call without a response", func(f *fgstandin.Feed, m *Mirror) {
+			f.Mute(true)
+			f.Put("up/b", "")
+			waitForBatch()
+			f.Mute(false)
+			f.Remove("up/a")
+			time.Sleep(renewInterval)
+			m.RecordSuccess()
+		}},
+		{"the store turns this gateway away", func(f *fgstandin.Feed, m *Mirror) {
+			f.Fail(errUnreachable)
+			for range 9 {
+				time.Sleep(time.Second)
+				m.RecordResponse(time.Now().Add(-200 * time.Millisecond))
+			}
+			f.Remove("up/a")
+			time.Sleep(renewInterval)
+			m.RecordResponse(time.Now())
+			f.Fail(nil)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := fgstandin.NewFeed()
+				f.Put("up/a", "")
+				f.Put("up/b", "")
+				m := start(t, f)
+				tt.fail(f, m)
+				time.Sleep(maxChangeDelay - renewInterval)
+				synctest.Wait()
+				expectUpstreams(t, m, "b")
+			})
+		})
+	}
+}
+
+// Guards against live upstreams that get no more requests after an outage because
+// another gateway reached the store first.
+func TestOutageEndsForAllGateways(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fgstandin.NewFeed()
+		f.Put("up/a", "")
+		m := start(t, f)
+		f.Fail(errUnreachable)
+		time.Sleep(2 * time.Second)
+		f.Remove("up/a")
+		m.RecordResponse(time.Now())
+		time.Sleep(500 * time.Millisecond)
+		f.Fail(nil)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		expectUpstreams(t, m, "a")
+		time.Sleep(deletionGrace)
+		synctest.Wait()
+		expectUpstreams(t, m)
+	})
+}
+
 // Guards against a gateway whose metrics show a reachable store while it hears of no
 // change, since renewals of its lease succeed.
 func TestCopyAgeGrowsWithoutWatchResponse(t *testing.T) {
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -108,6 +108,7 @@
 	g.limiter.ApplyReport(s.GetVm(), s.GetIncarnation(), s.GetSequence(), uses)
 	g.applyCrashReports(s.GetCrashes())
 	now := time.Now()
+	g.mirror.RecordResponse(now.Add(-time.Duration(s.GetStoreAgeMs()) * time.Millisecond))
 	p := &g.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
