Ignore changes that the copy of the store already includes

What callers saw: upstreams that had left got requests again, seconds after their entries were deleted.

Cause: while a watch call waits, a peer's newer copy can replace this gateway's. A late response to the call then holds changes older than the copy.

Change: changes up to the copy's revision are ignored, and logged with their number.

Test: all three rows of TestLateChangesAreIgnored failed before.

--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -328,11 +328,16 @@
 	m.publish()
 }
 
-// apply applies the changes up to a revision. recovering has the same meaning as for
-// Replace.
+// apply applies the changes up to a revision. Those that the copy already includes are
+// ignored: a response that arrives late may lack the deletions that followed them.
+// recovering has the same meaning as for Replace.
 func (m *Mirror) apply(events []fgstore.Event, revision uint64, recovering bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if newer := m.newer(events); len(newer) < len(events) {
+		m.options.Logger.Info("changes ignored that the copy of the store already includes", "ignored", len(events)-len(newer), "revision", m.revision)
+		events = newer
+	}
 	for _, v := range events {
 		e := m.entries[v.Key]
 		switch {
@@ -350,6 +355,11 @@
 	m.publish()
 }
 
+// newer returns the changes that the copy does not include. m.mu is held.
+func (m *Mirror) newer(events []fgstore.Event) []fgstore.Event {
+	return slices.DeleteFunc(slices.Clone(events), func(e fgstore.Event) bool { return e.Revision <= m.revision })
+}
+
 // put stores a value unless the copy already holds that revision or a newer one.
 // It cancels a pending deletion. m.mu is held.
 func (m *Mirror) put(v fgstore.Value) {
--- a/internal/coordination/fgmirror/mirror_test.go
+++ b/internal/coordination/fgmirror/mirror_test.go
@@ -328,6 +328,43 @@
 	})
 }
 
+// Guards against upstreams that left and get requests again, because a late response to
+// a watch call holds changes that a peer's copy already included.
+func TestLateChangesAreIgnored(t *testing.T) {
+	written := fgstore.Event{Value: fgstore.Value{Key: "up/b", Revision: 5}}
+	deleted := fgstore.Event{Value: fgstore.Value{Key: "up/b", Revision: 8}, Deleted: true}
+	tests := []struct {
+		name   string
+		events []fgstore.Event
+		// kept means that the deletion of "up/b" is pending when the changes arrive.
+		kept bool
+	}{
+		{"written", []fgstore.Event{written}, false},
+		{"written and deleted", []fgstore.Event{written, deleted}, false},
+		{"written, with a pending deletion", []fgstore.Event{written}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := New(Options{Codec: fakeCodec{}, Logger: logr.Discard()})
+				m.Replace([]fgstore.Value{{Key: "up/a", Revision: 2}, written.Value}, 5, false)
+				m.Replace([]fgstore.Value{{Key: "up/a", Revision: 2}}, 10, tt.kept)
+				time.Sleep(deletionGrace / 2)
+				m.apply(tt.events, tt.events[len(tt.events)-1].Revision, true)
+				if !tt.kept {
+					expectUpstreams(t, m, "a")
+				}
+				time.Sleep(deletionGrace)
+				synctest.Wait()
+				expectUpstreams(t, m, "a")
+				if m.Revision() != 10 {
+					t.Errorf("revision %d, want 10", m.Revision())
+				}
+			})
+		})
+	}
+}
+
 // Guards against repeated reads of all entries: each call to the store counts
 // against its rate limit and is billed.
 func TestStoreReadOnce(t *testing.T) {
