Send states to gateways whose entry expired while they report

What callers saw: a gateway that the store turned away kept its old policy, keys and upstreams until the store took it back.

Cause: its lease ends after 4 s, its entry is deleted, and the others send their states to registered gateways only. It also hears nothing of the use of rates.

Change: a gateway that was registered and whose states still arrive stays a receiver of states, until it is silent for the time after which look-ups omit it.

Test: TestUnregisteredGatewayGetsStates got no state in ten intervals before.

--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,10 +25,10 @@
 	// workspace's excess over its rate is detected only after an interval.
 	exchangeBaseMembers = 10
 	maxExchangeInterval = 600 * time.Millisecond
-	// silentTimeout is how long a gateway may be silent before look-ups omit it. It is
-	// multiplied by the ratio of the current interval to minExchangeInterval, rounded
+	// minSilentTimeout is how long a gateway may be silent before look-ups omit it. It
+	// is multiplied by the ratio of the current interval to minExchangeInterval, rounded
 	// down.
-	silentTimeout = 1200 * time.Millisecond
+	minSilentTimeout = 1200 * time.Millisecond
 	// catchUpDelay is how long this gateway may lack a revision that a peer has before
 	// it fetches the peer's copy of the store. The mirror's own delay between two
 	// watches is added.
@@ -39,6 +40,8 @@
 	mu            sync.Mutex
 	states        map[string]peerState
 	firstReceived time.Time
+	// registered holds the gateways that are registered, or were and still report.
+	registered map[string]fgsteer.MemberSpec
 	// behindSince is when a gateway first reported a revision that this one lacks.
 	behindSince    time.Time
 	behindRevision uint64
@@ -141,7 +144,7 @@
 	p := &g.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	timeout := silentTimeout * time.Duration(max(1, g.exchangeInterval()/minExchangeInterval))
+	timeout := g.silentTimeout()
 	s, ok := p.states[vm]
 	switch {
 	case ok && time.Since(s.received) < timeout, !p.anyReceivedWithin(timeout):
@@ -153,6 +156,11 @@
 	}
 }
 
+// silentTimeout returns how long a gateway may be silent at the current interval.
+func (g *Gateway) silentTimeout() time.Duration {
+	return minSilentTimeout * time.Duration(max(1, g.exchangeInterval()/minExchangeInterval))
+}
+
 // anyReceivedWithin reports whether any gateway has sent its state within a duration.
 // p.mu is held.
 func (p *peers) anyReceivedWithin(d time.Duration) bool {
@@ -164,6 +172,28 @@
 	return false
 }
 
+// reporting returns the registered gateways and those that were registered and still
+// report. The entry of a gateway that the store turns away expires, and only the states
+// of the others tell it that it lacks changes.
+func (p *peers) reporting(members []fgsteer.MemberSpec, timeout time.Duration) []fgsteer.MemberSpec {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := slices.Clone(members)
+	registered := make(map[string]fgsteer.MemberSpec, len(members))
+	for _, m := range members {
+		registered[m.VM] = m
+	}
+	for vm, m := range p.registered {
+		s := p.states[vm]
+		if _, ok := registered[vm]; !ok && !s.leaving && s.incarnation == m.Incarnation && time.Since(s.received) < timeout {
+			registered[vm] = m
+			all = append(all, m)
+		}
+	}
+	p.registered = registered
+	return all
+}
+
 // isBehind reports whether a peer has had a newer copy of the store for so long that
 // this gateway should fetch one.
 func (g *Gateway) isBehind() bool {
--- a/internal/fggateway/relay.go
+++ b/internal/fggateway/relay.go
@@ -78,6 +78,7 @@
 	g.peers.mu.Lock()
 	g.peers.sequences.Prune()
 	g.peers.mu.Unlock()
+	members = g.peers.reporting(members, g.silentTimeout())
 	p := g.newPlan(fgrelay.NewLayout(g.settings.Self, members, g.isAvailable))
 	g.plan.Store(p)
 	return p
--- a/internal/fggateway/relay_test.go
+++ b/internal/fggateway/relay_test.go
@@ -114,6 +114,38 @@
 	}
 }
 
+// Guards against withdrawn keys that work again at a gateway which the store turns away:
+// once its lease has ended, it learns only from the states of others that it lacks
+// changes.
+func TestUnregisteredGatewayGetsStates(t *testing.T) {
+	env := newTestEnv(t)
+	peer := env.addPeers(1)["west-0"]
+	g := env.gateway("vm-1", 0)
+	env.eventually("the peer gets a state", func() bool { return len(peer.receive(t, minExchangeInterval)) > 0 })
+	sequence := uint64(0)
+	report := func() {
+		sequence++
+		g.receiveState(&fgwire.GatewayState{Vm: "west-0", Sequence: sequence})
+	}
+	report()
+	env.feed.Remove("member/west-0")
+	env.eventually("the entry is gone", func() bool {
+		report()
+		return len(g.mirror.View().Members()) == 3
+	})
+	// What was sent before is discarded.
+	peer.receive(t, minExchangeInterval)
+	received := 0
+	for range 10 {
+		report()
+		received += len(peer.receive(t, minExchangeInterval))
+	}
+	if received < 5 {
+		t.Errorf("a gateway that reports got %d states in ten intervals", received)
+	}
+	env.eventually("a gateway that no longer reports gets none", func() bool { return len(peer.receive(t, 2*minExchangeInterval)) == 0 })
+}
+
 // Guards against a relay that does not send the states of its region to each other
 // one.
 func TestRelaySendsStatesOfItsRegion(t *testing.T) {
