Read the limits that upstreams name, and log them

An upstream in need names in its responses how many requests per second it takes from all gateways together. It got two to three times as many as allowed (docs/incidents/limit.md), and neither a log line nor a metric showed that it had named a limit.

New: the lines "upstream named a limit" and "upstream lifted its limit", and the metric filbertgap_gateway_upstreams_limited. Only a response that is signed or says that it did not run the request lifts a limit. docs/OPERATIONS.md is now checked against the log messages of forward.go, too.

No upstream gets fewer requests yet.

--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -89,6 +89,7 @@
 	// available.
 	avoidUntil atomic.Int64
 	coldUntil  atomic.Int64
+	limit      namedLimit
 
 	mu          sync.Mutex
 	failureRate float64
--- a/internal/fgcommand/pages_test.go
+++ b/internal/fgcommand/pages_test.go
@@ -42,6 +42,7 @@
 		{"../fggateway/request.go", `(?m)^\tcode\w+ +code = "([^"]+)"`},
 		{"../fggateway/exchange.go", `logger\.Info\("(copy of the store fetched|gateway state changed)"`},
 		{"../fggateway/contacts.go", `logger\.Info\("([^"]+)"`},
+		{"../fggateway/forward.go", `logger\.Info\("([^"]+)"`},
 		{"../fggateway/overdue.go", `logger\.Info\("([^"]+)"`},
 		{"../fggateway/regions.go", `logger\.Info\("([^"]+)"`},
 		{"../fggateway/crash.go", `logger\.Info\("([^"]+)"`},
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -188,6 +188,7 @@
 	return fgmetrics.NewGateway(fgmetrics.GatewayCallbacks{
 		StoreAge: g.mirror.Age, StoreCopyAge: g.mirror.CopyAge, StoreRevision: g.mirror.Revision, ConnectionsOpened: g.pool.Opened, ConnectionsReused: g.pool.Reused, DroppedLines: dropped,
 		CallerConnections: func() int64 { return g.sockets.callers.Accepted() },
+		LimitedUpstreams:  g.balancer.LimitedUpstreams,
 		PolicyVersion: func() int64 {
 			if v := g.mirror.View(); v != nil && v.Policy() != nil {
 				return v.Policy().Version()
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -27,6 +27,7 @@
 	PolicyVersion     func() int64
 	Members           func() int
 	Upstreams         func() int
+	LimitedUpstreams  func() int
 	ConnectionsOpened func() int64
 	ConnectionsReused func() int64
 	CallerConnections func() int64
@@ -53,6 +54,7 @@
 		gauge("gateway_policy_version", "Version of the policy in force.", func() float64 { return float64(c.PolicyVersion()) }),
 		gauge("gateway_members", "Registered gateways.", func() float64 { return float64(c.Members()) }),
 		gauge("gateway_upstreams", "Upstreams that may get requests.", func() float64 { return float64(c.Upstreams()) }),
+		gauge("gateway_upstreams_limited", "Upstreams that name a limit in their responses.", func() float64 { return float64(c.LimitedUpstreams()) }),
 		counter("gateway_connections_opened_total", "Connections opened to upstreams.", c.ConnectionsOpened),
 		counter("gateway_connections_reused_total", "Requests sent over a kept connection.", c.ConnectionsReused),
 		counter("gateway_caller_connections_total", "Connections accepted from callers.", c.CallerConnections),
--- a/internal/protocol/fgmessage/message.go
+++ b/internal/protocol/fgmessage/message.go
@@ -54,6 +54,10 @@
 	Load   Load
 	// HasLoad means that the response has a Load.
 	HasLoad bool
+	// Limit is the number of requests per second that the upstream takes from all VMs
+	// together. HasLimit means that the response has a Limit.
+	Limit    float64
+	HasLimit bool
 	// ColdDuration is how long the upstream will still be cold. Zero means that it
 	// sent none.
 	ColdDuration time.Duration
