Keep the limits that upstreams name over all gateways

What callers saw: upstreams in need got two to three times the requests that they had said they take, and were slow or refused.

A limit for all gateways together needs a part for each, since no gateway knows what others send.

Change: what a limit allows in 4 s, or a little more for a whole number, is divided between the gateways, with more for those of the upstream's region. A gateway without quota left takes the next upstream for the request at once. Gateways without a part hear of the limit in the states of others, so that they neither send nor keep a limit that was lifted.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -49,7 +49,7 @@
 	// ErrNoUpstream means that no upstream may take the request.
 	ErrNoUpstream = merry.Sentinel("no upstream can take the request")
 	// ErrFull means that all candidates for the request are at their load limit, or
-	// are cold and may get no more requests from this VM.
+	// are cold or name a limit and may get no more requests from this VM.
 	ErrFull = merry.Sentinel("the upstreams for the request are at their load limit")
 )
 
@@ -78,8 +78,17 @@
 type state struct {
 	view   *fgsteer.View
 	groups map[string]*group
+	// instances holds the upstreams of all groups by instanceHash.
+	instances map[uint64]*Upstream
 	// members are the VMs that may send requests to upstreams.
-	members []string
+	members []member
+}
+
+// member is a VM that is or was lately registered.
+type member struct {
+	vm, region string
+	// registered is when the VM was last in a view.
+	registered time.Time
 }
 
 // Balancer chooses upstreams for requests. It is safe for concurrent use.
@@ -96,8 +105,8 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*Upstream
-	// lastRegistered is when each VM was last in a view.
-	lastRegistered map[string]time.Time
+	// members are the VMs that were in a view within memberRetention.
+	members map[string]member
 	// meanResponse and regionWeights are indexed by group and are kept when the view
 	// changes.
 	meanResponse  map[string]*meanResponseTime
@@ -107,7 +116,7 @@
 // New returns a balancer without upstreams.
 func New(o Options) *Balancer {
 	now := time.Now()
-	b := &Balancer{options: o, epoch: now.Add(-time.Hour), started: now, upstreams: map[string]*Upstream{}, lastRegistered: map[string]time.Time{},
+	b := &Balancer{options: o, epoch: now.Add(-time.Hour), started: now, upstreams: map[string]*Upstream{}, members: map[string]member{},
 		meanResponse: map[string]*meanResponseTime{}, regionWeights: map[string]*regionWeights{}}
 	b.state.Store(&state{})
 	b.bounds.Store(&coldBounds{})
@@ -125,19 +134,19 @@
 func (b *Balancer) Update(v *fgsteer.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := &state{view: v, groups: map[string]*group{}}
+	s := &state{view: v, groups: map[string]*group{}, instances: map[uint64]*Upstream{}}
 	now := time.Now()
-	// This VM may send requests before its own entry is in the view.
-	b.lastRegistered[b.options.VM] = now
 	for _, m := range v.Members() {
-		b.lastRegistered[m.VM] = now
+		b.members[m.VM] = member{vm: m.VM, region: m.Region, registered: now}
 	}
-	for vm, at := range b.lastRegistered {
-		if now.Sub(at) > memberRetention {
-			delete(b.lastRegistered, vm)
+	// This VM may send requests before its own entry is in the view.
+	b.members[b.options.VM] = member{vm: b.options.VM, region: b.options.Region, registered: now}
+	for vm, m := range b.members {
+		if now.Sub(m.registered) > memberRetention {
+			delete(b.members, vm)
 			continue
 		}
-		s.members = append(s.members, vm)
+		s.members = append(s.members, m)
 	}
 	known := make(map[string]*Upstream, len(b.upstreams))
 	for name, snapshots := range v.Groups() {
@@ -163,6 +172,7 @@
 			known[id] = u
 			u.region.Store(g.regionWeights.addUpstream(spec.Region, spec.Slots))
 			g.upstreams = append(g.upstreams, u)
+			s.instances[instanceHash(spec)] = u
 		}
 		s.groups[name] = g
 	}
@@ -204,6 +214,8 @@
 type candidates struct {
 	ranked [maxCandidates]candidate
 	count  int
+	// limited means that an upstream was left out because of the limit that it names.
+	limited bool
 }
 
 // add inserts an upstream if it is among the best.
@@ -231,16 +243,17 @@
 	wall := time.Now()
 	now := int64(wall.Sub(b.epoch))
 	// Failing and unreachable upstreams are candidates only if there is no other.
-	best := b.rank(s, g, c, now, true)
+	best := b.rank(s, g, c, wall, true)
 	if best.count == 0 {
-		best = b.rank(s, g, c, now, false)
+		best = b.rank(s, g, c, wall, false)
 	}
-	if best.count == 0 {
+	if best.count == 0 && !best.limited {
 		return nil, ErrNoUpstream
 	}
 	for _, ranked := range best.ranked[:best.count] {
 		u := ranked.upstream
-		if u.loadPerSlot(now) >= c.MaxLoadPerSlot || u.isCold(wall, now) && (wall.Sub(b.started) < coldSendDelay || !u.reserveColdSend(wall, b.coldQuota(s, g, u))) {
+		if u.loadPerSlot(now) >= c.MaxLoadPerSlot || u.isCold(wall, now) && (wall.Sub(b.started) < coldSendDelay || !u.reserveColdSend(wall, b.coldQuota(s, g, u))) ||
+			!b.reserveLimitedSend(s, u, wall) {
 			continue
 		}
 		u.inFlight.Add(1)
@@ -253,8 +266,9 @@
 // they are ranked by rendezvous hashing: all VMs of a region compute the same
 // ranking, and adding or removing an upstream moves only that upstream's keys.
 // Without a key they are ranked by load.
-func (b *Balancer) rank(s *state, g *group, c Criteria, now int64, skipAvoided bool) candidates {
+func (b *Balancer) rank(s *state, g *group, c Criteria, wall time.Time, skipAvoided bool) candidates {
 	var best candidates
+	now := int64(wall.Sub(b.epoch))
 	keyHash, sameRegionWeight := xxhash.Sum64String(c.AffinityKey), b.sameRegionWeight(c.Objective)
 	for _, u := range g.upstreams {
 		spec := u.Spec()
@@ -262,6 +276,10 @@
 			len(c.Regions) > 0 && !slices.Contains(c.Regions, spec.Region) || slices.Contains(c.Exclude, u) {
 			continue
 		}
+		if !b.withinLimit(s, u, wall) {
+			best.limited = true
+			continue
+		}
 		if c.AffinityKey == "" {
 			best.add(u, -u.loadPerSlot(now))
 			continue
@@ -319,8 +337,8 @@
 	}
 	ownHash := fmix64(u.hash ^ xxhash.Sum64String(b.options.VM))
 	lower := 0
-	for _, name := range s.members {
-		if name != b.options.VM && fmix64(u.hash^xxhash.Sum64String(name)) < ownHash {
+	for _, m := range s.members {
+		if m.vm != b.options.VM && fmix64(u.hash^xxhash.Sum64String(m.vm)) < ownHash {
 			lower++
 		}
 	}
