Test limits of upstreams through gateways, and log reported ones

A gateway that hears of a limit from another one logged nothing, so that the log did not say why it sent fewer requests to the upstream: it now logs "limit of an upstream reported". What the gateway does with limits is in a file of its own.

TestUpstreamNamesLimit drives two gateways and an upstream over HTTP: the limit holds, is reported, and ends.

--- a/internal/coordination/fgaffinity/limit.go
+++ b/internal/coordination/fgaffinity/limit.go
@@ -103,9 +103,10 @@
 	return reports
 }
 
-// ApplyLimitReports applies the reports of another VM. A response that this VM got later
-// takes precedence.
-func (b *Balancer) ApplyLimitReports(reports []LimitReport) {
+// ApplyLimitReports applies the reports of another VM and returns the upstreams that were
+// not known to name a limit. A response that this VM got later takes precedence.
+func (b *Balancer) ApplyLimitReports(reports []LimitReport) []*Upstream {
+	var limited []*Upstream
 	now, s := time.Now(), b.state.Load()
 	for _, r := range reports {
 		u := s.instances[r.Upstream]
@@ -116,10 +117,13 @@
 		l.mu.Lock()
 		if at.After(l.responded) && at.After(l.heard) {
 			l.rate, l.heard = r.Rate, at
-			l.set.Store(true)
+			if !l.set.Swap(true) {
+				limited = append(limited, u)
+			}
 		}
 		l.mu.Unlock()
 	}
+	return limited
 }
 
 // LimitedUpstreams returns the number of upstreams that name a limit.
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -8,7 +8,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgquota"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgrelay"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
@@ -98,9 +97,7 @@
 		})
 	}
 	state.Crashes = g.crashReports()
-	for _, l := range g.balancer.LimitReports() {
-		state.Limits = append(state.Limits, &fgwire.UpstreamLimit{Upstream: l.Upstream, PerSecond: l.Rate, AgeMs: l.Age.Milliseconds()})
-	}
+	state.Limits = g.limitReports()
 	p := g.updatePlan()
 	g.sendToPeers("state", s, state, p.peers)
 	g.queueForRelay(state)
@@ -114,7 +111,7 @@
 	}
 	g.limiter.ApplyReport(s.GetVm(), s.GetIncarnation(), s.GetSequence(), uses)
 	g.applyCrashReports(s.GetCrashes())
-	g.applyLimitReports(s.GetLimits())
+	g.applyLimitReports(s.GetVm(), s.GetLimits())
 	now := time.Now()
 	g.mirror.RecordResponse(now.Add(-time.Duration(s.GetStoreAgeMs()) * time.Millisecond))
 	p := &g.peers
@@ -137,15 +134,6 @@
 	}
 }
 
-// applyLimitReports applies the limits that another gateway has heard from upstreams.
-func (g *Gateway) applyLimitReports(limits []*fgwire.UpstreamLimit) {
-	reports := make([]fgaffinity.LimitReport, len(limits))
-	for i, l := range limits {
-		reports[i] = fgaffinity.LimitReport{Upstream: l.GetUpstream(), Rate: l.GetPerSecond(), Age: time.Duration(l.GetAgeMs()) * time.Millisecond}
-	}
-	g.balancer.ApplyLimitReports(reports)
-}
-
 // isAvailable reports whether look-ups may return a gateway: it has sent its state
 // recently and is not leaving. If no other gateway has, this one is probably
 // partitioned from the network, and all registered gateways that are not leaving
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -197,23 +197,6 @@
 	return sendOutcome{response: wrapped, result: wrapped.result, refusal: refused}
 }
 
-// recordLimit records the limit that a response names. Only a response that certainly
-// is the upstream's lifts it.
-func (g *Gateway) recordLimit(q *request, u *fgaffinity.Upstream, meta fgmessage.Response) {
-	if meta.Misdirected || !meta.HasLimit && !meta.Signed && !meta.NotRun {
-		return
-	}
-	if !g.balancer.RecordLimit(u, meta.Limit, meta.HasLimit) {
-		return
-	}
-	spec := u.Spec()
-	if meta.HasLimit {
-		g.logger.Info("upstream named a limit", "upstream", spec.ID, "group", spec.Group, "address", spec.Address, "perSecond", meta.Limit, "attempt", q.AttemptID)
-	} else {
-		g.logger.Info("upstream lifted its limit", "upstream", spec.ID, "group", spec.Group, "address", spec.Address, "attempt", q.AttemptID)
-	}
-}
-
 // finishSend records the result of a send.
 func (g *Gateway) finishSend(u *fgaffinity.Upstream, group string, r fgaffinity.Result) {
 	g.balancer.Done(u, r)
--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,9 +43,10 @@
 }
 
 func (testDialect) ReadResponse(r *http.Response) fgmessage.Response {
+	limit, err := strconv.ParseFloat(r.Header.Get("T-Limit"), 64)
 	return fgmessage.Response{
 		AttemptID: r.Header.Get("T-Id"), Signed: r.Header.Get("T-Signed") != "", NotRun: r.Header.Get("T-Not-Run") != "",
-		Misdirected: r.StatusCode == http.StatusMisdirectedRequest,
+		Misdirected: r.StatusCode == http.StatusMisdirectedRequest, Limit: limit, HasLimit: err == nil,
 	}
 }
 
@@ -484,6 +486,52 @@
 	})
 }
 
+// Guards against an upstream that gets more requests than the limit in its responses, and
+// against a limit that the other gateways do not hear of or that lasts after its end.
+func TestUpstreamNamesLimit(t *testing.T) {
+	env := newTestEnv(t)
+	var limited atomic.Bool
+	var requests atomic.Int64
+	limited.Store(true)
+	env.upstream("u1", func(rw http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		if limited.Load() {
+			rw.Header().Set("T-Limit", "0.5")
+		}
+		respond(rw, r)
+	})
+	env.upstream("u2", respond)
+	a, b := env.gateway("vm-1", 2), env.gateway("vm-2", 2)
+	env.eventually("the gateways know each other", func() bool { return len(a.mirror.View().Members()) == 2 && len(b.mirror.View().Members()) == 2 })
+	env.eventually("the limit is named", func() bool {
+		a.mustCall(t, http.MethodGet, "/read/x")
+		return a.balancer.LimitedUpstreams() == 1
+	})
+	env.eventually("the other gateway hears of the limit", func() bool { return b.balancer.LimitedUpstreams() == 1 })
+	start, before := time.Now(), requests.Load()
+	for range 200 {
+		for _, g := range []*testGateway{a, b} {
+			if got := g.mustCall(t, http.MethodGet, "/read/x"); got.status != http.StatusOK {
+				t.Fatalf("got %+v while another upstream has capacity", got)
+			}
+		}
+	}
+	if got, allowed := requests.Load()-before, int64(1.5*0.5*time.Since(start).Seconds()+5); got > allowed {
+		t.Errorf("the upstream got %d requests in %v, allowed %d", got, time.Since(start), allowed)
+	}
+	limited.Store(false)
+	env.eventually("the limit is lifted", func() bool {
+		a.mustCall(t, http.MethodGet, "/read/x")
+		b.mustCall(t, http.MethodGet, "/read/x")
+		return a.balancer.LimitedUpstreams() == 0 && b.balancer.LimitedUpstreams() == 0
+	})
+	for _, message := range []string{"upstream named a limit", "upstream lifted its limit"} {
+		if len(env.logs.find(`"msg":"`+message+`"`, `"upstream":"u1"`)) == 0 {
+			t.Errorf("no line %q", message)
+		}
+	}
+}
+
 // Guards against an upstream that keeps running a request whose caller has
 // disconnected.
 func TestCallerDisconnects(t *testing.T) {
