Exchange states with gateways that the view lacks

Cause: gateways sent states to the entries of their view, and fetched copies from them. A gateway that is turned away does not see the entry of one that has restarted since, so that neither gets the other's states, and nobody has a copy for it. One that leaves got no states either, and serves callers for seconds.

Change: a state comes from the peer address of its gateway. Whoever sends states directly gets states, and its copy can be fetched, until it falls silent.

Tests: three new rows of TestUnregisteredGatewayGetsStates and TestCopyIsFetchedFromUnregisteredGateway failed with the earlier choice of receivers.

--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -40,7 +40,8 @@
 	mu            sync.Mutex
 	states        map[string]peerState
 	firstReceived time.Time
-	// registered holds the gateways that are registered, or were and still report.
+	// registered holds the gateways that are registered, or were and still report, as
+	// they registered.
 	registered map[string]fgsteer.MemberSpec
 	// behindSince is when a gateway first reported a revision that this one lacks.
 	behindSince    time.Time
@@ -53,9 +54,12 @@
 
 type peerState struct {
 	incarnation uint64
-	received    time.Time
-	leaving     bool
-	revision    uint64
+	// address is the peer address from which states came directly. It is empty if all
+	// were passed on by others.
+	address  string
+	received time.Time
+	leaving  bool
+	revision uint64
 }
 
 // exchange sends this gateway's state to the others until the context ends.
@@ -103,8 +107,9 @@
 	g.queueForRelay(state)
 }
 
-// applyState applies the state that another gateway sent.
-func (g *Gateway) applyState(s *fgwire.GatewayState) {
+// applyState applies the state of another gateway, which came directly from its peer
+// address, or from another gateway if that is empty.
+func (g *Gateway) applyState(s *fgwire.GatewayState, address string) {
 	uses := make([]fgquota.Use, len(s.GetWorkspaces()))
 	for i, u := range s.GetWorkspaces() {
 		uses[i] = fgquota.Use{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted(), Demand: float64(u.GetDemand()) / 10}
@@ -121,10 +126,14 @@
 		p.states = map[string]peerState{}
 		p.firstReceived = now
 	}
-	if old, ok := p.states[s.GetVm()]; !ok || old.incarnation != s.GetIncarnation() || old.leaving != s.GetLeaving() {
+	old, ok := p.states[s.GetVm()]
+	if !ok || old.incarnation != s.GetIncarnation() || old.leaving != s.GetLeaving() {
 		g.logger.Info("gateway state changed", "vm", s.GetVm(), "incarnation", s.GetIncarnation(), "leaving", s.GetLeaving())
 	}
-	p.states[s.GetVm()] = peerState{incarnation: s.GetIncarnation(), received: now, leaving: s.GetLeaving(), revision: s.GetStoreRevision()}
+	if address == "" && old.incarnation == s.GetIncarnation() {
+		address = old.address
+	}
+	p.states[s.GetVm()] = peerState{incarnation: s.GetIncarnation(), address: address, received: now, leaving: s.GetLeaving(), revision: s.GetStoreRevision()}
 	ownRevision := g.mirror.Revision()
 	if ownRevision >= p.behindRevision {
 		p.behindSince = time.Time{}
@@ -174,25 +183,44 @@
 	return false
 }
 
-// reporting returns the registered gateways and those that were registered and still
-// report. The entry of a gateway that the store turns away expires, and only the states
-// of the others tell it that it lacks changes.
-func (p *peers) reporting(members []fgsteer.MemberSpec, timeout time.Duration) []fgsteer.MemberSpec {
+// reachableMembers returns the registered gateways and others that report.
+func (g *Gateway) reachableMembers() []fgsteer.MemberSpec {
+	var members []fgsteer.MemberSpec
+	if v := g.mirror.View(); v != nil {
+		members = v.Members()
+	}
+	return g.peers.withReporting(members, g.settings.Self, g.silentTimeout())
+}
+
+// withReporting adds to the registered gateways those that only report. A gateway that
+// the store turns away loses its entry, and does not see the entries of new ones. Only
+// the states of the others then tell it that it lacks changes, and them what it spends.
+func (p *peers) withReporting(members []fgsteer.MemberSpec, self fgsteer.MemberSpec, timeout time.Duration) []fgsteer.MemberSpec {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := slices.Clone(members)
-	registered := make(map[string]fgsteer.MemberSpec, len(members))
-	for _, m := range members {
-		registered[m.VM] = m
+	known := make(map[string]fgsteer.MemberSpec, len(members))
+	for i, m := range members {
+		known[m.VM] = m
+		if s := p.states[m.VM]; s.address != "" && s.incarnation > m.Incarnation {
+			// It has restarted.
+			all[i].Incarnation, all[i].PeerAddress = s.incarnation, s.address
+		}
 	}
-	for vm, m := range p.registered {
-		s := p.states[vm]
-		if _, ok := registered[vm]; !ok && !s.leaving && s.incarnation == m.Incarnation && time.Since(s.received) < timeout {
-			registered[vm] = m
-			all = append(all, m)
+	for vm, s := range p.states {
+		if _, ok := known[vm]; ok || vm == self.VM || s.address == "" || time.Since(s.received) >= timeout {
+			continue
+		}
+		m, ok := p.registered[vm]
+		if !ok {
+			// In a large fleet, states come directly from the own region only.
+			m = fgsteer.MemberSpec{VM: vm, Region: self.Region}
 		}
+		known[vm] = m
+		m.Incarnation, m.PeerAddress = s.incarnation, s.address
+		all = append(all, m)
 	}
-	p.registered = registered
+	p.registered = known
 	return all
 }
 
@@ -210,13 +238,12 @@
 // requests while it serves other gateways, or if the contact that this gateway follows
 // lags behind others.
 func (g *Gateway) catchUp(ctx context.Context) {
-	v := g.mirror.View()
-	if v == nil || !g.isBehind() {
+	if g.mirror.View() == nil || !g.isBehind() {
 		return
 	}
 	g.peers.resetBehind()
 	g.contacts.avoidCurrent("other gateways have a newer copy")
-	if m, ok := g.nearestAhead(v.Members()); ok {
+	if m, ok := g.nearestAhead(g.reachableMembers()); ok {
 		g.fetchStore(ctx, m.PeerAddress, m.VM)
 	}
 }
--- a/internal/fggateway/exchange_test.go
+++ b/internal/fggateway/exchange_test.go
@@ -23,7 +23,7 @@
 	fetches := func() int { return len(env.logs.find(`"msg":"fetching a copy of the store failed"`, `"from":"vm-2"`)) }
 	for range 12 {
 		next := g.mirror.Revision() + 1
-		g.applyState(&fgwire.GatewayState{Vm: "vm-2", StoreRevision: next})
+		g.applyState(&fgwire.GatewayState{Vm: "vm-2", StoreRevision: next}, "")
 		if g.isBehind() {
 			t.Fatal("the gateway counts as behind")
 		}
@@ -31,7 +31,7 @@
 		env.eventually("the change is known", func() bool { return g.mirror.Revision() >= next })
 	}
 	before := fetches()
-	g.applyState(&fgwire.GatewayState{Vm: "vm-2", StoreRevision: g.mirror.Revision() + 5})
+	g.applyState(&fgwire.GatewayState{Vm: "vm-2", StoreRevision: g.mirror.Revision() + 5}, "")
 	env.eventually("a gateway without the latest revision fetches it", func() bool { return fetches() > before })
 }
 
--- a/internal/fggateway/relay.go
+++ b/internal/fggateway/relay.go
@@ -71,15 +71,10 @@
 
 // updatePlan recomputes the receivers of states from the current view.
 func (g *Gateway) updatePlan() *exchangePlan {
-	var members []fgsteer.MemberSpec
-	if v := g.mirror.View(); v != nil {
-		members = v.Members()
-	}
 	g.peers.mu.Lock()
 	g.peers.sequences.Prune()
 	g.peers.mu.Unlock()
-	members = g.peers.reporting(members, g.silentTimeout())
-	p := g.newPlan(fgrelay.NewLayout(g.settings.Self, members, g.isAvailable))
+	p := g.newPlan(fgrelay.NewLayout(g.settings.Self, g.reachableMembers(), g.isAvailable))
 	g.plan.Store(p)
 	return p
 }
@@ -144,13 +139,13 @@
 }
 
 // receiveState applies a state and those that it passes on, and passes on what came
-// from another region or zone.
-func (g *Gateway) receiveState(s *fgwire.GatewayState) {
+// from another region or zone. from is the peer address of the gateway that sent it.
+func (g *Gateway) receiveState(s *fgwire.GatewayState, from string) {
 	p := g.plan.Load()
 	relayed := s.GetRelayed()
 	s.Relayed = nil
 	if s.GetSequence() > 0 && g.acceptState(s) {
-		g.applyState(s)
+		g.applyState(s, from)
 		if p != nil && p.layout.InRegion(s.GetVm()) {
 			g.queueForRelay(s)
 		}
@@ -159,7 +154,7 @@
 	for _, r := range relayed {
 		r.Relayed = nil
 		if r.GetVm() != g.settings.Self.VM && g.acceptState(r) {
-			g.applyState(r)
+			g.applyState(r, "")
 			passedOn = append(passedOn, r)
 		}
 	}
--- a/internal/fggateway/relay_test.go
+++ b/internal/fggateway/relay_test.go
@@ -87,7 +87,7 @@
 	state := &fgwire.GatewayState{Vm: "west-5", Incarnation: 7, Sequence: 3, Leaving: true}
 	_ = local.receive(t, 50*time.Millisecond)
 	for range 2 {
-		g.receiveState(&fgwire.GatewayState{Vm: "west-3", Relayed: []*fgwire.GatewayState{proto.Clone(state).(*fgwire.GatewayState)}})
+		g.receiveState(&fgwire.GatewayState{Vm: "west-3", Relayed: []*fgwire.GatewayState{proto.Clone(state).(*fgwire.GatewayState)}}, peers["west-3"].spec.PeerAddress)
 	}
 	passedOn := 0
 	for _, s := range local.receive(t, 300*time.Millisecond) {
@@ -104,7 +104,7 @@
 		t.Error("a gateway that leaves is available")
 	}
 	// What a gateway of the own region passes on goes to the own zone only.
-	g.receiveState(&fgwire.GatewayState{Vm: "east-2", Relayed: []*fgwire.GatewayState{{Vm: "west-6", Incarnation: 7, Sequence: 3}}})
+	g.receiveState(&fgwire.GatewayState{Vm: "east-2", Relayed: []*fgwire.GatewayState{{Vm: "west-6", Incarnation: 7, Sequence: 3}}}, peers["east-2"].spec.PeerAddress)
 	for _, s := range local.receive(t, 300*time.Millisecond) {
 		for _, r := range s.GetRelayed() {
 			if r.GetVm() == "west-6" {
@@ -114,36 +114,75 @@
 	}
 }
 
-// Guards against withdrawn keys that work again at a gateway which the store turns away:
-// once its lease has ended, it learns only from the states of others that it lacks
-// changes.
+// Guards against withdrawn keys that work again, and rates that are exceeded, at gateways
+// whose entries are not in the view: once the store turns a gateway away, its lease ends,
+// and it does not see the entries of others that have restarted. A gateway that leaves
+// still serves callers.
 func TestUnregisteredGatewayGetsStates(t *testing.T) {
+	tests := []struct {
+		name       string
+		registered bool
+		state      *fgwire.GatewayState
+	}{
+		{"its entry has expired", true, &fgwire.GatewayState{}},
+		{"it leaves", true, &fgwire.GatewayState{Leaving: true}},
+		{"it has restarted since its entry expired", true, &fgwire.GatewayState{Incarnation: 9}},
+		{"its entry was never seen", false, &fgwire.GatewayState{Incarnation: 9}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			env := newTestEnv(t)
+			peer := env.addPeers(1)["west-0"]
+			if !tt.registered {
+				env.feed.Remove("member/west-0")
+			}
+			g := env.gateway("vm-1", 0)
+			sequence := uint64(0)
+			report := func() {
+				sequence++
+				s := proto.Clone(tt.state).(*fgwire.GatewayState)
+				s.Vm, s.Sequence, s.StoreRevision = "west-0", sequence, g.mirror.Revision()
+				g.receiveState(s, peer.spec.PeerAddress)
+			}
+			report()
+			env.feed.Remove("member/west-0")
+			env.eventually("the entry is gone", func() bool {
+				report()
+				return len(g.mirror.View().Members()) == 3
+			})
+			// What was sent before is discarded.
+			peer.receive(t, minExchangeInterval)
+			received := 0
+			for range 10 {
+				report()
+				received += len(peer.receive(t, minExchangeInterval))
+			}
+			if received < 5 {
+				t.Errorf("a gateway that reports got %d states in ten intervals", received)
+			}
+			env.eventually("a gateway that no longer reports gets none", func() bool { return len(peer.receive(t, 2*minExchangeInterval)) == 0 })
+		})
+	}
+}
+
+// Guards against a copy of the store that stands still, because the gateways with a newer
+// one have restarted and their entries are not in the view.
+func TestCopyIsFetchedFromUnregisteredGateway(t *testing.T) {
 	env := newTestEnv(t)
-	peer := env.addPeers(1)["west-0"]
 	g := env.gateway("vm-1", 0)
-	env.eventually("the peer gets a state", func() bool { return len(peer.receive(t, minExchangeInterval)) > 0 })
-	sequence := uint64(0)
-	report := func() {
-		sequence++
-		g.receiveState(&fgwire.GatewayState{Vm: "west-0", Sequence: sequence})
-	}
-	report()
-	env.feed.Remove("member/west-0")
-	env.eventually("the entry is gone", func() bool {
-		report()
-		return len(g.mirror.View().Members()) == 3
-	})
-	// What was sent before is discarded.
-	peer.receive(t, minExchangeInterval)
-	received := 0
-	for range 10 {
-		report()
-		received += len(peer.receive(t, minExchangeInterval))
+	const address = "127.0.0.1:9"
+	g.receiveState(&fgwire.GatewayState{Vm: "vm-2", Incarnation: 7, Sequence: 1, StoreRevision: g.mirror.Revision() + 1}, address)
+	if m, ok := g.nearestAhead(g.reachableMembers()); !ok || m.PeerAddress != address {
+		t.Errorf("the copy of %+v would be fetched, want that of the gateway at %s", m, address)
 	}
-	if received < 5 {
-		t.Errorf("a gateway that reports got %d states in ten intervals", received)
+	g.receiveState(&fgwire.GatewayState{Vm: "vm-3", Sequence: 0, Relayed: []*fgwire.GatewayState{
+		{Vm: "vm-4", Incarnation: 7, Sequence: 1, StoreRevision: g.mirror.Revision() + 2},
+	}}, "127.0.0.1:10")
+	for _, m := range g.reachableMembers() {
+		if m.VM == "vm-4" {
+			t.Error("a gateway whose address is not known counts as reachable")
+		}
 	}
-	env.eventually("a gateway that no longer reports gets none", func() bool { return len(peer.receive(t, 2*minExchangeInterval)) == 0 })
 }
 
 // Guards against a relay that does not send the states of its region to each other
@@ -164,7 +203,7 @@
 	var regions []string
 	env.eventually("a gateway of each other region gets the state", func() bool {
 		g.plan.Store(plan)
-		g.receiveState(&fgwire.GatewayState{Vm: "east-4", Incarnation: 7, Sequence: uint64(time.Now().UnixNano())})
+		g.receiveState(&fgwire.GatewayState{Vm: "east-4", Incarnation: 7, Sequence: uint64(time.Now().UnixNano())}, peers["east-4"].spec.PeerAddress)
 		time.Sleep(2 * relayInterval)
 		for round := range 2 {
 			for _, m := range layout.Targets(round) {
--- a/internal/transport/fggossip/socket.go
+++ b/internal/transport/fggossip/socket.go
@@ -68,14 +68,14 @@
 	return len(data), err
 }
 
-// Receive calls handle with each received state until the context is done. It
-// ignores datagrams that can't be decoded.
-func (s *Socket) Receive(ctx context.Context, handle func(*fgwire.GatewayState)) error {
+// Receive calls handle with each received state, and the peer address of the gateway
+// that sent it, until the context is done. It ignores datagrams that can't be decoded.
+func (s *Socket) Receive(ctx context.Context, handle func(state *fgwire.GatewayState, from string)) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.udp.Close() })
 	defer stop()
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		n, _, err := s.udp.ReadFromUDP(buffer)
+		n, from, err := s.udp.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -88,7 +88,7 @@
 		}
 		state := &fgwire.GatewayState{}
 		if proto.Unmarshal(buffer[:n], state) == nil {
-			handle(state)
+			handle(state, from.String())
 		}
 	}
 }
