Let responses without a limit outdate older reports of one

A gateway that had only got responses without a limit applied a report of one that was older than they, and kept to its part until its next response. It now remembers each response. A limit is reported only by gateways whose own responses named it.

TestLimitReports has the case of a first response without a limit, which failed before.

--- a/internal/coordination/fgaffinity/limit.go
+++ b/internal/coordination/fgaffinity/limit.go
@@ -48,12 +48,15 @@
 type namedLimit struct {
 	// set means that the upstream names a limit.
 	set atomic.Bool
+	// responded is when this VM last got a response, in nanoseconds after the balancer's
+	// epoch.
+	responded atomic.Int64
 
 	mu   sync.Mutex
 	rate float64
-	// responded is when this VM last got a response, and heard when it last heard the
-	// limit in a response or a report.
-	responded, heard time.Time
+	// named is when a response to this VM last named the limit, and heard when this VM
+	// last heard it in a response or a report.
+	named, heard time.Time
 	// sends are the times of requests within the window.
 	sends []time.Time
 	// quota is the number of requests that this VM may send in a window. It was computed
@@ -67,22 +70,23 @@
 // requests per second for all VMs together. It reports whether the upstream has begun or
 // ceased to name one.
 func (b *Balancer) RecordLimit(u *Upstream, rate float64, named bool) (changed bool) {
-	l := &u.limit
+	l, now := &u.limit, time.Now()
+	l.responded.Store(int64(now.Sub(b.epoch)))
 	if !named && !l.set.Load() {
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.responded = time.Now()
 	if !named {
 		l.sends = nil
 		return l.set.Swap(false)
 	}
-	l.rate, l.heard = rate, l.responded
+	l.rate, l.named, l.heard = rate, now, now
 	return !l.set.Swap(true)
 }
 
-// LimitReports returns limits that this VM has lately heard from their upstreams.
+// LimitReports returns limits that this VM has lately heard from their upstreams. If
+// there are too many for one report, each call returns others, as maps have no order.
 func (b *Balancer) LimitReports() []LimitReport {
 	var reports []LimitReport
 	now := time.Now()
@@ -92,7 +96,7 @@
 			continue
 		}
 		l.mu.Lock()
-		if age := now.Sub(l.responded); age < limitReportTime {
+		if age := now.Sub(l.named); age < limitReportTime {
 			reports = append(reports, LimitReport{Upstream: hash, Rate: l.rate, Age: age})
 		}
 		l.mu.Unlock()
@@ -114,8 +118,11 @@
 			continue
 		}
 		l, at := &u.limit, now.Add(-r.Age)
+		if int64(at.Sub(b.epoch)) <= l.responded.Load() {
+			continue
+		}
 		l.mu.Lock()
-		if at.After(l.responded) && at.After(l.heard) {
+		if at.After(l.heard) {
 			l.rate, l.heard = r.Rate, at
 			if !l.set.Swap(true) {
 				limited = append(limited, u)
@@ -220,11 +227,12 @@
 		quota = localQuota
 	}
 	// The rest may exceed the number of VMs, as both quotas are rounded down.
-	if vms := max(1, local+remote); before < rest%vms {
-		return quota + rest/vms + 1
-	} else {
-		return quota + rest/vms
+	vms := max(1, local+remote)
+	quota += rest / vms
+	if before < rest%vms {
+		quota++
 	}
+	return quota
 }
 
 // instanceHash identifies one start of an upstream program to other VMs.
--- a/internal/coordination/fgaffinity/limit_test.go
+++ b/internal/coordination/fgaffinity/limit_test.go
@@ -250,6 +250,11 @@
 		if b.LimitedUpstreams() != 0 {
 			t.Error("a report that is older than the last response was applied")
 		}
+		c := balancer("vm-1", v)
+		c.RecordLimit(choose(t, c, Criteria{}), 0, false)
+		if c.ApplyLimitReports(reports); c.LimitedUpstreams() != 0 {
+			t.Error("a report that is older than the first response was applied")
+		}
 		time.Sleep(limitReportTime)
 		if reports := a.LimitReports(); len(reports) > 0 {
 			t.Errorf("%+v is still reported", reports)
