Identify an upstream's instance and rank VMs in one place each

A limit was reported under a second identity of the upstream's instance, computed anew for each upstream of each view, beside instanceID, whose text depended on the VM's time zone. The hash of instanceID, in UTC, now serves both and is computed once for an instance. The order of VMs by hash stood in the quotas of cold and of limited upstreams; both call vmHash.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -78,7 +78,8 @@
 type state struct {
 	view   *fgsteer.View
 	groups map[string]*group
-	// instances holds the upstreams of all groups by instanceHash.
+	// instances holds the upstreams of all groups by the hash of their instanceID, by
+	// which other VMs report on them.
 	instances map[uint64]*Upstream
 	// members are the VMs that may send requests to upstreams.
 	members []member
@@ -166,13 +167,13 @@
 			id := instanceID(spec)
 			u := b.upstreams[id]
 			if u == nil {
-				u = &Upstream{hash: xxhash.Sum64String(spec.ID)}
+				u = &Upstream{hash: xxhash.Sum64String(spec.ID), instance: xxhash.Sum64String(id)}
 			}
 			u.spec.Store(spec)
 			known[id] = u
 			u.region.Store(g.regionWeights.addUpstream(spec.Region, spec.Slots))
 			g.upstreams = append(g.upstreams, u)
-			s.instances[instanceHash(spec)] = u
+			s.instances[u.instance] = u
 		}
 		s.groups[name] = g
 	}
@@ -180,10 +181,10 @@
 	b.state.Store(s)
 }
 
-// instanceID identifies one start of an upstream program. A restarted upstream has
-// none of the failures and requests of the previous process.
+// instanceID identifies one start of an upstream program, on all VMs. A restarted
+// upstream has none of the failures and requests of the previous process.
 func instanceID(s *fgsteer.UpstreamSpec) string {
-	return s.ID + "@" + s.Address + "@" + s.Started.Format(time.RFC3339Nano)
+	return s.ID + "@" + s.Address + "@" + s.Started.UTC().Format(time.RFC3339Nano)
 }
 
 // Criteria holds the criteria by which an upstream is chosen for a request.
@@ -335,10 +336,10 @@
 	if limit >= vms {
 		return limit / vms
 	}
-	ownHash := fmix64(u.hash ^ xxhash.Sum64String(b.options.VM))
+	ownHash := u.vmHash(b.options.VM)
 	lower := 0
 	for _, m := range s.members {
-		if m.vm != b.options.VM && fmix64(u.hash^xxhash.Sum64String(m.vm)) < ownHash {
+		if m.vm != b.options.VM && u.vmHash(m.vm) < ownHash {
 			lower++
 		}
 	}
--- a/internal/coordination/fgaffinity/limit.go
+++ b/internal/coordination/fgaffinity/limit.go
@@ -2,14 +2,9 @@
 
 import (
 	"math"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 )
 
 const (
@@ -90,14 +85,14 @@
 func (b *Balancer) LimitReports() []LimitReport {
 	var reports []LimitReport
 	now := time.Now()
-	for hash, u := range b.state.Load().instances {
+	for instance, u := range b.state.Load().instances {
 		l := &u.limit
 		if !l.set.Load() {
 			continue
 		}
 		l.mu.Lock()
 		if age := now.Sub(l.named); age < limitReportTime {
-			reports = append(reports, LimitReport{Upstream: hash, Rate: l.rate, Age: age})
+			reports = append(reports, LimitReport{Upstream: instance, Rate: l.rate, Age: age})
 		}
 		l.mu.Unlock()
 		if len(reports) == maxLimitReports {
@@ -206,8 +201,7 @@
 // those in its region first. VMs with the same members divide the requests equally.
 func (b *Balancer) limitQuota(s *state, u *Upstream, total int) int {
 	region := u.Spec().Region
-	hash := func(vm string) uint64 { return fmix64(u.hash ^ xxhash.Sum64String(vm)) }
-	isLocal, ownHash := b.options.Region == region, hash(b.options.VM)
+	isLocal, ownHash := b.options.Region == region, u.vmHash(b.options.VM)
 	local, remote, before := 0, 0, 0
 	for _, m := range s.members {
 		memberIsLocal := m.region == region
@@ -216,7 +210,7 @@
 		} else {
 			remote++
 		}
-		if m.vm != b.options.VM && (memberIsLocal && !isLocal || memberIsLocal == isLocal && hash(m.vm) < ownHash) {
+		if m.vm != b.options.VM && (memberIsLocal && !isLocal || memberIsLocal == isLocal && u.vmHash(m.vm) < ownHash) {
 			before++
 		}
 	}
@@ -234,8 +228,3 @@
 	}
 	return quota
 }
-
-// instanceHash identifies one start of an upstream program to other VMs.
-func instanceHash(s *fgsteer.UpstreamSpec) uint64 {
-	return xxhash.Sum64String(s.ID + "@" + s.Address + "@" + strconv.FormatInt(s.Started.UnixMilli(), 10))
-}
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 )
 
@@ -77,7 +79,9 @@
 
 // Upstream is this VM's state of one upstream. It is kept when the view changes.
 type Upstream struct {
+	// hash is the hash of the ID, instance that of the instanceID.
 	hash     uint64
+	instance uint64
 	spec     atomic.Pointer[fgsteer.UpstreamSpec]
 	region   atomic.Pointer[regionWeight]
 	inFlight atomic.Int64
@@ -101,6 +105,10 @@
 	coldSends    []time.Time
 }
 
+// vmHash orders VMs for what cannot be divided equally between them. The order differs
+// with each upstream.
+func (u *Upstream) vmHash(vm string) uint64 { return fmix64(u.hash ^ xxhash.Sum64String(vm)) }
+
 // Spec returns the specification that the upstream registered.
 func (u *Upstream) Spec() *fgsteer.UpstreamSpec { return u.spec.Load() }
 
