Choose an upstream without a call for those that name no limit

Choosing had become 9 to 15% slower (BenchmarkChoose, 1,200 upstreams: 55.5 to 63.7 us), since each upstream cost a call and another cache line. The flag is now read in place, beside the other fields that choosing reads: 56.8 and 57.5 us.

Behaviour is the same; the tests of limits pass.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -254,7 +254,7 @@
 	for _, ranked := range best.ranked[:best.count] {
 		u := ranked.upstream
 		if u.loadPerSlot(now) >= c.MaxLoadPerSlot || u.isCold(wall, now) && (wall.Sub(b.started) < coldSendDelay || !u.reserveColdSend(wall, b.coldQuota(s, g, u))) ||
-			!b.reserveLimitedSend(s, u, wall) {
+			u.limit.set.Load() && !b.reserveLimitedSend(s, u, wall) {
 			continue
 		}
 		u.inFlight.Add(1)
@@ -277,7 +277,7 @@
 			len(c.Regions) > 0 && !slices.Contains(c.Regions, spec.Region) || slices.Contains(c.Exclude, u) {
 			continue
 		}
-		if !b.withinLimit(s, u, wall) {
+		if u.limit.set.Load() && !b.withinLimit(s, u, wall) {
 			best.limited = true
 			continue
 		}
--- a/internal/coordination/fgaffinity/limit.go
+++ b/internal/coordination/fgaffinity/limit.go
@@ -139,24 +139,18 @@
 	return n
 }
 
-// withinLimit reports whether this VM may send a request to an upstream within the limit
-// that it names.
+// withinLimit reports whether this VM may send a request to an upstream that names a
+// limit.
 func (b *Balancer) withinLimit(s *state, u *Upstream, now time.Time) bool {
-	if !u.limit.set.Load() {
-		return true
-	}
 	u.limit.mu.Lock()
 	defer u.limit.mu.Unlock()
 	return b.hasQuota(s, u, now)
 }
 
-// reserveLimitedSend counts a request to an upstream, unless this VM may not send one
-// within the limit.
+// reserveLimitedSend counts a request to an upstream that names a limit, unless this VM
+// may not send one.
 func (b *Balancer) reserveLimitedSend(s *state, u *Upstream, now time.Time) bool {
 	l := &u.limit
-	if !l.set.Load() {
-		return true
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !b.hasQuota(s, u, now) {
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -79,9 +79,8 @@
 
 // Upstream is this VM's state of one upstream. It is kept when the view changes.
 type Upstream struct {
-	// hash is the hash of the ID, instance that of the instanceID.
+	// hash is the hash of the ID.
 	hash     uint64
-	instance uint64
 	spec     atomic.Pointer[fgsteer.UpstreamSpec]
 	region   atomic.Pointer[regionWeight]
 	inFlight atomic.Int64
@@ -92,8 +91,10 @@
 	// avoidUntil is the time until which the upstream is chosen only if no other is
 	// available.
 	avoidUntil atomic.Int64
-	coldUntil  atomic.Int64
 	limit      namedLimit
+	coldUntil  atomic.Int64
+	// instance is the hash of the instanceID.
+	instance uint64
 
 	mu          sync.Mutex
 	failureRate float64
