Read the era of the store's responses, and log older copies that are ignored

Responses of the store now have a position, era and revision; the line "copy of the store ignored" shows both, and the metric filbertgap_gateway_store_era the copy's era.

A copy of another era is still ignored while its revision is lower.

--- a/internal/coordination/fgmirror/contact.go
+++ b/internal/coordination/fgmirror/contact.go
@@ -84,11 +84,11 @@
 		for i, e := range changes.Events {
 			values[i] = e.Value
 		}
-		m.Replace(values, changes.Revision, recovering)
+		m.Replace(values, fgstore.Position{Revision: changes.Revision}, recovering)
 	case len(changes.Events) > 0:
-		m.apply(changes.Events, changes.Revision, recovering)
+		m.apply(changes.Events, fgstore.Position{Revision: changes.Revision}, recovering)
 	default:
-		m.advance(changes.Revision)
+		m.advance(fgstore.Position{Revision: changes.Revision})
 	}
 	if !changes.Fresh {
 		c.Failed("it does not follow the store")
@@ -129,8 +129,8 @@
 func (m *Mirror) changesAfter(revision uint64) (Changes, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := Changes{Revision: m.revision, Recovering: time.Now().Before(m.graceEnd), Fresh: m.direct && !m.unreachable && m.revision > 0}
-	if m.revision <= revision {
+	c := Changes{Revision: m.position.Revision, Recovering: time.Now().Before(m.graceEnd), Fresh: m.direct && !m.unreachable && m.position.Revision > 0}
+	if m.position.Revision <= revision {
 		return c, m.history.changed
 	}
 	events, ok := m.history.after(revision)
--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -111,7 +111,7 @@
 	policy       *fgsteer.Policy
 	// warned holds the warnings about policies that were logged.
 	warned         map[string]bool
-	revision       uint64
+	position       fgstore.Position
 	republishTimer *time.Timer
 	// direct means that the copy follows the store itself.
 	direct  bool
@@ -133,7 +133,7 @@
 	defer m.mu.Unlock()
 	if m.unreachable {
 		m.unreachable = false
-		m.options.Logger.Info("platform store reachable again", "revision", m.revision)
+		m.options.Logger.Info("platform store reachable again", "revision", m.position.Revision)
 	}
 	now := time.Now()
 	if m.lastResponse.IsZero() {
@@ -157,7 +157,7 @@
 	silent := at.Sub(m.lastResponse)
 	if silent >= minOutage {
 		m.graceEnd = at.Add(deletionGrace)
-		m.options.Logger.Info("outage of the platform store ended", "silentMs", silent.Milliseconds(), "revision", m.revision)
+		m.options.Logger.Info("outage of the platform store ended", "silentMs", silent.Milliseconds(), "revision", m.position.Revision)
 	}
 	if silent > 0 {
 		m.lastResponse = at
@@ -170,7 +170,7 @@
 	defer m.mu.Unlock()
 	if !m.unreachable {
 		m.unreachable = true
-		m.options.Logger.Info("platform store unreachable", "error", err.Error(), "revision", m.revision)
+		m.options.Logger.Info("platform store unreachable", "error", err.Error(), "revision", m.position.Revision)
 	}
 }
 
@@ -208,6 +208,9 @@
 		case errors.Is(err, fgstore.ErrCompacted):
 			m.options.Logger.Info("platform store compacted its history, reading all entries", "revision", m.Revision())
 			loaded = false
+		case errors.Is(err, fgstore.ErrRestored):
+			m.options.Logger.Info("platform store was restored from an older copy, reading all entries", "era", m.Position().Era, "revision", m.Revision())
+			loaded = false
 		default:
 			m.RecordFailure(err)
 			m.options.Logger.Info("following the store failed", "error", err.Error(), "tookMs", time.Since(start).Milliseconds(),
@@ -221,13 +224,13 @@
 // step reads all entries if none are loaded, or else waits for the next changes.
 func (m *Mirror) step(ctx context.Context, loaded *bool) error {
 	if !*loaded {
-		values, revision, err := m.options.Feed.RangeValues(ctx, "")
+		values, position, err := m.options.Feed.RangeValues(ctx, "")
 		if err != nil {
 			return err
 		}
 		m.RecordSuccess()
 		m.setDirect(true)
-		m.Replace(values, revision, m.Recovering())
+		m.Replace(values, position, m.Recovering())
 		m.recordCurrent()
 		*loaded = true
 		return nil
@@ -239,26 +242,26 @@
 		}
 	}
 	m.setDirect(true)
-	events, revision, err := m.watch(ctx)
+	events, position, err := m.watch(ctx)
 	if err != nil {
 		return err
 	}
 	m.RecordSuccess()
 	if len(events) == 0 {
-		m.advance(revision)
+		m.advance(position)
 		m.recordCurrent()
 		return nil
 	}
-	m.apply(events, revision, m.Recovering())
+	m.apply(events, position, m.Recovering())
 	m.recordCurrent()
 	return fgtimer.Wait(ctx, m.BatchWait())
 }
 
 // watch waits for the next changes, at most for watchTimeout.
-func (m *Mirror) watch(ctx context.Context) ([]fgstore.Event, uint64, error) {
+func (m *Mirror) watch(ctx context.Context) ([]fgstore.Event, fgstore.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	return m.options.Feed.WatchEvents(ctx, "", m.Revision(), longPollWait)
+	return m.options.Feed.WatchEvents(ctx, "", m.Position(), longPollWait)
 }
 
 // BatchWait returns the pause between a watch response and the next watch call.
@@ -270,26 +273,32 @@
 	return min(max(minBatchWait, batchWaitPerMember*time.Duration(len(v.Members()))), maxBatchWait)
 }
 
-// Revision returns the store revision of the copy.
-func (m *Mirror) Revision() uint64 {
+// Position returns the position of the copy in the history of the store.
+func (m *Mirror) Position() fgstore.Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.revision
+	return m.position
 }
 
-// advance moves the copy to a revision up to which nothing has changed.
-func (m *Mirror) advance(revision uint64) {
+// Revision returns the store revision of the copy, in its era.
+func (m *Mirror) Revision() uint64 { return m.Position().Revision }
+
+// Era returns the store's era of the copy.
+func (m *Mirror) Era() uint64 { return m.Position().Era }
+
+// advance moves the copy to a position up to which nothing has changed.
+func (m *Mirror) advance(p fgstore.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if revision > m.revision {
-		m.revision = revision
-		m.history.add(nil, revision)
+	if p.Revision > m.position.Revision {
+		m.position = p
+		m.history.add(nil, p.Revision)
 	}
 }
 
-// Values returns the stored values of the copy and its revision. Entries that
+// Values returns the stored values of the copy and its position. Entries that
 // are kept after their deletion are not included.
-func (m *Mirror) Values() ([]fgstore.Value, uint64) {
+func (m *Mirror) Values() ([]fgstore.Value, fgstore.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	values := make([]fgstore.Value, 0, len(m.entries))
@@ -298,18 +307,20 @@
 			values = append(values, e.value)
 		}
 	}
-	return values, m.revision
+	return values, m.position
 }
 
-// Replace replaces the copy by all values of the store at a revision, which were
-// read from the store or received from a peer. A revision older than the copy is
+// Replace replaces the copy by all values of the store at a position, which were
+// read from the store or received from a peer. A position before the copy's is
 // ignored. If recovering is set, the process that read the values was recovering
 // from an outage of the store, and upstreams and members that are missing from the
 // values are kept for deletionGrace.
-func (m *Mirror) Replace(values []fgstore.Value, revision uint64, recovering bool) {
+func (m *Mirror) Replace(values []fgstore.Value, p fgstore.Position, recovering bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if revision < m.revision {
+	if p.Revision < m.position.Revision {
+		m.options.Logger.Info("copy of the store ignored, the one held is newer", "era", p.Era, "revision", p.Revision,
+			"heldEra", m.position.Era, "heldRevision", m.position.Revision)
 		return
 	}
 	present := make(map[string]bool, len(values))
@@ -319,23 +330,23 @@
 	}
 	for key, e := range m.entries {
 		// An entry with a higher revision was written after the values were read.
-		if !present[key] && e.value.Revision <= revision {
+		if !present[key] && e.value.Revision <= p.Revision {
 			m.remove(key, e, recovering)
 		}
 	}
-	m.revision = revision
-	m.history.reset(revision)
+	m.position = p
+	m.history.reset(p.Revision)
 	m.publish()
 }
 
-// apply applies the changes up to a revision. Those that the copy already includes are
+// apply applies the changes up to a position. Those that the copy already includes are
 // ignored: a response that arrives late may lack the deletions that followed them.
 // recovering has the same meaning as for Replace.
-func (m *Mirror) apply(events []fgstore.Event, revision uint64, recovering bool) {
+func (m *Mirror) apply(events []fgstore.Event, p fgstore.Position, recovering bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if newer := m.newer(events); len(newer) < len(events) {
-		m.options.Logger.Info("changes ignored that the copy of the store already includes", "ignored", len(events)-len(newer), "revision", m.revision)
+		m.options.Logger.Info("changes ignored that the copy of the store already includes", "ignored", len(events)-len(newer), "revision", m.position.Revision)
 		events = newer
 	}
 	for _, v := range events {
@@ -350,14 +361,14 @@
 			m.put(v.Value)
 		}
 	}
-	m.revision = max(m.revision, revision)
-	m.history.add(events, m.revision)
+	m.position.Revision = max(m.position.Revision, p.Revision)
+	m.history.add(events, m.position.Revision)
 	m.publish()
 }
 
 // newer returns the changes that the copy does not include. m.mu is held.
 func (m *Mirror) newer(events []fgstore.Event) []fgstore.Event {
-	return slices.DeleteFunc(slices.Clone(events), func(e fgstore.Event) bool { return e.Revision <= m.revision })
+	return slices.DeleteFunc(slices.Clone(events), func(e fgstore.Event) bool { return e.Revision <= m.position.Revision })
 }
 
 // put stores a value unless the copy already holds that revision or a newer one.
@@ -426,7 +437,7 @@
 
 // publish builds a view of all entries and passes it to Options.Publish. m.mu is held.
 func (m *Mirror) publish() {
-	spec := fgsteer.ViewSpec{Revision: int64(m.revision)}
+	spec := fgsteer.ViewSpec{Revision: int64(m.position.Revision)}
 	now := time.Now()
 	var republishAfter time.Duration
 	for _, key := range slices.Sorted(maps.Keys(m.entries)) {
--- a/internal/coordination/fgmirror/mirror_test.go
+++ b/internal/coordination/fgmirror/mirror_test.go
@@ -207,7 +207,7 @@
 		expectUpstreams(t, m, "a", "b")
 		f.Fail(errUnreachable)
 		waitForBatch()
-		m.Replace([]fgstore.Value{{Key: "up/c", Revision: 9}}, 9, false)
+		m.Replace([]fgstore.Value{{Key: "up/c", Revision: 9}}, fgstore.Position{Revision: 9}, false)
 		time.Sleep(deletionGrace)
 		synctest.Wait()
 		if got := upstreamIDs(m); !slices.Contains(got, "c") {
@@ -347,10 +347,10 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				m := New(Options{Codec: fakeCodec{}, Logger: logr.Discard()})
-				m.Replace([]fgstore.Value{{Key: "up/a", Revision: 2}, written.Value}, 5, false)
-				m.Replace([]fgstore.Value{{Key: "up/a", Revision: 2}}, 10, tt.kept)
+				m.Replace([]fgstore.Value{{Key: "up/a", Revision: 2}, written.Value}, fgstore.Position{Revision: 5}, false)
+				m.Replace([]fgstore.Value{{Key: "up/a", Revision: 2}}, fgstore.Position{Revision: 10}, tt.kept)
 				time.Sleep(deletionGrace / 2)
-				m.apply(tt.events, tt.events[len(tt.events)-1].Revision, true)
+				m.apply(tt.events, fgstore.Position{Revision: tt.events[len(tt.events)-1].Revision}, true)
 				if !tt.kept {
 					expectUpstreams(t, m, "a")
 				}
--- a/internal/coordination/fgstore/feed.go
+++ b/internal/coordination/fgstore/feed.go
@@ -12,6 +12,9 @@
 	// ErrCompacted means that a watch started after a revision that the service
 	// has compacted. All values must be read again.
 	ErrCompacted = merry.Sentinel("the platform has compacted the requested changes")
+	// ErrRestored means that the store was restored from an older copy of itself. All
+	// values must be read again.
+	ErrRestored = merry.Sentinel("the platform's store was restored from an older copy")
 	// ErrLeaseEnded means that a lease has expired or was revoked.
 	ErrLeaseEnded = merry.Sentinel("the lease has ended")
 )
@@ -27,6 +30,8 @@
 // it are deleted.
 type Lease struct {
 	ID int64
+	// Era is the era of the store that granted the lease.
+	Era uint64
 	// TTL is how long the lease lasts without being renewed.
 	TTL time.Duration
 }
@@ -34,15 +39,17 @@
 // Feed is the part of the platform's key-value service with which a VM watches all
 // keys and registers itself under a lease.
 type Feed interface {
-	// RangeValues returns all values under a prefix and the store's revision when the
-	// read began. The values may include later changes.
-	RangeValues(ctx context.Context, prefix string) ([]Value, uint64, error)
-	// WatchEvents waits for at most wait for changes after a revision. It returns
-	// the changes and the revision to continue from, or ErrCompacted.
-	WatchEvents(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
+	// RangeValues returns all values under a prefix and the store's position when the
+	// read began. The values are of the position's era and may include later changes.
+	RangeValues(ctx context.Context, prefix string) ([]Value, Position, error)
+	// WatchEvents waits for at most wait for changes after a position. It returns the
+	// changes and the position to continue from, ErrCompacted, or ErrRestored if the
+	// store is in another era than the position.
+	WatchEvents(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Event, Position, error)
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
-	// Renew restarts the TTL of a lease. It returns ErrLeaseEnded if there is none.
+	// Renew restarts the TTL of a lease. It returns ErrLeaseEnded if there is none, or if
+	// it was granted in an earlier era, in which another VM may have its ID.
 	Renew(ctx context.Context, l Lease) error
 	// Revoke ends a lease and deletes its keys.
 	Revoke(ctx context.Context, l Lease) error
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -295,7 +295,7 @@
 	for i, e := range response.GetEntries() {
 		values[i] = fgstore.Value{Key: e.GetKey(), Data: e.GetValue(), Revision: e.GetRevision()}
 	}
-	g.mirror.Replace(values, response.GetRevision(), response.GetRecovering())
+	g.mirror.Replace(values, fgstore.Position{Revision: response.GetRevision()}, response.GetRecovering())
 	g.logger.Info("copy of the store fetched", "from", source, "revision", response.GetRevision(), "was", ownRevision, "storeAgeMs", g.mirror.Age().Milliseconds())
 }
 
@@ -305,9 +305,9 @@
 // FetchStore returns this gateway's copy of the store, without entries if it is no
 // newer than the revision in the request.
 func (s storeService) FetchStore(_ context.Context, r *fgwire.StoreRequest) (*fgwire.StoreAnswer, error) {
-	values, revision := s.gateway.mirror.Values()
-	response := &fgwire.StoreAnswer{Revision: revision, Recovering: s.gateway.mirror.Recovering()}
-	if revision <= r.GetRevision() {
+	values, position := s.gateway.mirror.Values()
+	response := &fgwire.StoreAnswer{Revision: position.Revision, Recovering: s.gateway.mirror.Recovering()}
+	if position.Revision <= r.GetRevision() {
 		return response, nil
 	}
 	for _, v := range values {
--- a/internal/fggateway/exchange_test.go
+++ b/internal/fggateway/exchange_test.go
@@ -57,7 +57,8 @@
 	a, b := env.gateway("vm-1", 1), env.gateway("vm-2", 1)
 	env.eventually("the gateways know each other", func() bool { return len(a.mirror.View().Members()) == 2 && len(b.mirror.View().Members()) == 2 })
 	// From here on b can learn of the change only from a peer.
-	values, revision := env.feed.Values()
+	values, position := env.feed.Values()
+	position.Revision++
 	env.policy.Version = 2
 	env.policy.Workspaces[0].Keys = []string{"new"}
 	data, err := json.Marshal(env.policy)
@@ -67,10 +68,10 @@
 	env.feed.Fail(errors.New("the store refuses the request"))
 	for i := range values {
 		if values[i].Key == "policy" {
-			values[i].Data, values[i].Revision = data, revision+1
+			values[i].Data, values[i].Revision = data, position.Revision
 		}
 	}
-	a.mirror.Replace(values, revision+1, false)
+	a.mirror.Replace(values, position, false)
 	env.eventually("the other gateway refuses the old key", func() bool { return b.mustCall(t, http.MethodGet, "/read/x").status == 401 })
 	if got := b.mustCall(t, http.MethodGet, "/read/x", "T-Key", "new"); got.status != 200 {
 		t.Errorf("the new key got %+v", got)
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -186,7 +186,7 @@
 		dropped = func() int64 { return 0 }
 	}
 	return fgmetrics.NewGateway(fgmetrics.GatewayCallbacks{
-		StoreAge: g.mirror.Age, StoreCopyAge: g.mirror.CopyAge, StoreRevision: g.mirror.Revision, ConnectionsOpened: g.pool.Opened, ConnectionsReused: g.pool.Reused, DroppedLines: dropped,
+		StoreAge: g.mirror.Age, StoreCopyAge: g.mirror.CopyAge, StoreRevision: g.mirror.Revision, StoreEra: g.mirror.Era, ConnectionsOpened: g.pool.Opened, ConnectionsReused: g.pool.Reused, DroppedLines: dropped,
 		CallerConnections: func() int64 { return g.sockets.callers.Accepted() },
 		LimitedUpstreams:  g.balancer.LimitedUpstreams,
 		PolicyVersion: func() int64 {
--- a/internal/fggateway/reports_test.go
+++ b/internal/fggateway/reports_test.go
@@ -365,11 +365,11 @@
 	env := newTestEnv(t)
 	env.upstream("u1", respond)
 	g := env.gateway("vm-1", 1)
-	values, revision := env.feed.Values()
+	values, position := env.feed.Values()
 	env.policy.Version, env.policy.Workspaces[0].Keys = 2, []string{"new"}
 	env.putPolicy()
 	env.eventually("the withdrawal is known", func() bool { return g.mustCall(t, http.MethodGet, "/read/x").status == 401 })
-	g.mirror.Replace(values, revision, true)
+	g.mirror.Replace(values, position, true)
 	if res := g.mustCall(t, http.MethodGet, "/read/x"); res.status != http.StatusUnauthorized {
 		t.Errorf("the withdrawn key got %+v", res)
 	}
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -24,6 +24,7 @@
 	StoreAge          func() time.Duration
 	StoreCopyAge      func() time.Duration
 	StoreRevision     func() uint64
+	StoreEra          func() uint64
 	PolicyVersion     func() int64
 	Members           func() int
 	Upstreams         func() int
@@ -51,6 +52,7 @@
 		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return c.StoreAge().Seconds() }),
 		gauge("gateway_store_copy_age_seconds", "Time since the copy of the store was last known to hold all changes.", func() float64 { return c.StoreCopyAge().Seconds() }),
 		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(c.StoreRevision()) }),
+		gauge("gateway_store_era", "Era of the store's copy here. It rises when the store is restored from an older copy.", func() float64 { return float64(c.StoreEra()) }),
 		gauge("gateway_policy_version", "Version of the policy in force.", func() float64 { return float64(c.PolicyVersion()) }),
 		gauge("gateway_members", "Registered gateways.", func() float64 { return float64(c.Members()) }),
 		gauge("gateway_upstreams", "Upstreams that may get requests.", func() float64 { return float64(c.Upstreams()) }),
--- a/internal/fgstandin/feed.go
+++ b/internal/fgstandin/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -12,7 +13,7 @@
 var _ fgstore.Feed = (*Feed)(nil)
 
 // Feed is an in-memory key-value store that implements the interface which
-// gateways use. Fail, Mute, Compact and ExpireLeases cause faults.
+// gateways use. Fail, Mute, Compact, ExpireLeases and Restore cause faults.
 type Feed struct {
 	mu     sync.Mutex
 	values map[string]fgstore.Value
@@ -20,6 +21,7 @@
 	events   []fgstore.Event
 	revision uint64
 	oldest   uint64
+	era      uint64
 	// failure is the error set by Fail.
 	failure error
 	// muted is set by Mute.
@@ -95,23 +97,23 @@
 }
 
 // RangeValues returns all values, whatever the prefix.
-func (f *Feed) RangeValues(context.Context, string) ([]fgstore.Value, uint64, error) {
+func (f *Feed) RangeValues(context.Context, string) ([]fgstore.Value, fgstore.Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.rangeCalls++
 	if f.failure != nil {
-		return nil, 0, f.failure
+		return nil, fgstore.Position{}, f.failure
 	}
 	var all []fgstore.Value
 	for _, v := range f.values {
 		all = append(all, v)
 	}
-	return all, f.revision, nil
+	return all, f.position(), nil
 }
 
-// WatchEvents waits for changes after a revision, whatever their prefix. It
+// WatchEvents waits for changes after a position, whatever their prefix. It
 // returns no events if none happen within the wait.
-func (f *Feed) WatchEvents(ctx context.Context, _ string, after uint64, wait time.Duration) ([]fgstore.Event, uint64, error) {
+func (f *Feed) WatchEvents(ctx context.Context, _ string, after fgstore.Position, wait time.Duration) ([]fgstore.Event, fgstore.Position, error) {
 	timeout := time.After(wait)
 	f.mu.Lock()
 	f.watchCalls++
@@ -119,34 +121,38 @@
 	f.mu.Unlock()
 	if muted {
 		<-ctx.Done()
-		return nil, 0, fmt.Errorf("%w: %w", fgstore.ErrUnknown, ctx.Err())
+		return nil, fgstore.Position{}, fmt.Errorf("%w: %w", fgstore.ErrUnknown, ctx.Err())
 	}
 	for {
 		f.mu.Lock()
 		if f.failure != nil {
 			defer f.mu.Unlock()
-			return nil, 0, f.failure
+			return nil, fgstore.Position{}, f.failure
 		}
-		if after < f.oldest {
+		if after.Era != f.era {
 			defer f.mu.Unlock()
-			return nil, 0, fgstore.ErrCompacted
+			return nil, fgstore.Position{}, fgstore.ErrRestored
+		}
+		if after.Revision < f.oldest {
+			defer f.mu.Unlock()
+			return nil, fgstore.Position{}, fgstore.ErrCompacted
 		}
 		var newer []fgstore.Event
 		for _, e := range f.events {
-			if e.Revision > after {
+			if e.Revision > after.Revision {
 				newer = append(newer, e)
 			}
 		}
-		revision, changed := f.revision, f.changed
+		position, changed := f.position(), f.changed
 		f.mu.Unlock()
 		if len(newer) > 0 {
-			return newer, revision, nil
+			return newer, position, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, fgstore.Position{}, ctx.Err()
 		case <-timeout:
-			return nil, revision, nil
+			return nil, position, nil
 		case <-changed:
 		}
 	}
@@ -161,7 +167,7 @@
 	}
 	f.lastID++
 	f.leases[f.lastID] = nil
-	return fgstore.Lease{ID: f.lastID, TTL: ttl}, nil
+	return fgstore.Lease{ID: f.lastID, Era: f.era, TTL: ttl}, nil
 }
 
 // Renew fails for a lease that has ended.
@@ -210,6 +216,36 @@
 	f.leases = map[int64][]string{}
 }
 
+// FeedBackup is a copy of a Feed.
+type FeedBackup struct {
+	values   map[string]fgstore.Value
+	revision uint64
+}
+
+// Backup returns a copy of the store.
+func (f *Feed) Backup() FeedBackup {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return FeedBackup{values: maps.Clone(f.values), revision: f.revision}
+}
+
+// Restore goes back to a backup, as a store does that is restored after a failure: a new
+// era begins, the leases and the keys under them are gone, and revisions are given out
+// again.
+func (f *Feed) Restore(b FeedBackup) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.values, f.revision, f.events, f.oldest = maps.Clone(b.values), b.revision, nil, b.revision
+	for _, keys := range f.leases {
+		for _, key := range keys {
+			delete(f.values, key)
+		}
+	}
+	f.leases = map[int64][]string{}
+	f.era++
+	f.notify()
+}
+
 // RangeCalls returns the number of calls of RangeValues.
 func (f *Feed) RangeCalls() int {
 	f.mu.Lock()
@@ -224,13 +260,18 @@
 	return f.watchCalls
 }
 
-// Values returns all values and the store's revision.
-func (f *Feed) Values() ([]fgstore.Value, uint64) {
+// position returns the store's position. The caller holds mu.
+func (f *Feed) position() fgstore.Position {
+	return fgstore.Position{Era: f.era, Revision: f.revision}
+}
+
+// Values returns all values and the store's position.
+func (f *Feed) Values() ([]fgstore.Value, fgstore.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var all []fgstore.Value
 	for _, v := range f.values {
 		all = append(all, v)
 	}
-	return all, f.revision
+	return all, f.position()
 }
