Follow a store that was restored from an older copy

Cause: gateways compared revisions across the restore, after which they are given out again. A read of all entries below the copy's revision was ignored, the next watch call asked after a revision that the store did not have, and all entries were read again without a pause. Entries with lower revisions than the ones held were ignored for good.

Positions now have an era, which the store names in its responses and which is compared first, in the copy, in followers and in what gateways send each other. As a restored copy is older than what the gateway holds, a policy no longer gives way to an older version, an upstream's entry not to one that it wrote before, and deletions are not undone; what is missing is kept until its owner has had time to write it again. A lease is used only in its era, in which alone its ID is its own.

--- a/internal/coordination/fgmirror/contact.go
+++ b/internal/coordination/fgmirror/contact.go
@@ -23,8 +23,8 @@
 	// Events are the changes in order, or with Complete all entries.
 	Events   []fgstore.Event
 	Complete bool
-	// Revision is the revision of the copy after the changes.
-	Revision uint64
+	// Position is the position of the copy after the changes.
+	Position fgstore.Position
 	// Recovering means that the store was recently unreachable, and that entries
 	// which are missing may be registered again.
 	Recovering bool
@@ -35,9 +35,9 @@
 
 // Contact is a gateway whose copy of the store another one follows.
 type Contact interface {
-	// Changes waits for changes after a revision. It returns none after a while
+	// Changes waits for changes after a position. It returns none after a while
 	// without a change.
-	Changes(ctx context.Context, revision uint64) (Changes, error)
+	Changes(ctx context.Context, after fgstore.Position) (Changes, error)
 	// Failed is called when the copy cannot be followed any further.
 	Failed(reason string)
 }
@@ -67,8 +67,8 @@
 // followContact applies the next changes of a contact.
 func (m *Mirror) followContact(ctx context.Context, c Contact) {
 	m.setDirect(false)
-	revision := m.Revision()
-	changes, err := c.Changes(ctx, revision)
+	position := m.Position()
+	changes, err := c.Changes(ctx, position)
 	if err != nil {
 		if ctx.Err() == nil {
 			c.Failed(err.Error())
@@ -77,18 +77,18 @@
 	}
 	recovering := changes.Recovering || m.Recovering()
 	switch {
-	case changes.Revision < revision:
+	case changes.Position.Before(position):
 		// The contact has not seen what this copy holds.
 	case changes.Complete:
 		values := make([]fgstore.Value, len(changes.Events))
 		for i, e := range changes.Events {
 			values[i] = e.Value
 		}
-		m.Replace(values, fgstore.Position{Revision: changes.Revision}, recovering)
+		m.Replace(values, changes.Position, recovering)
 	case len(changes.Events) > 0:
-		m.apply(changes.Events, fgstore.Position{Revision: changes.Revision}, recovering)
+		m.apply(changes.Events, changes.Position, recovering)
 	default:
-		m.advance(fgstore.Position{Revision: changes.Revision})
+		m.advance(changes.Position)
 	}
 	if !changes.Fresh {
 		c.Failed("it does not follow the store")
@@ -104,14 +104,14 @@
 	m.direct = direct
 }
 
-// ChangesAfter waits until the copy is newer than a revision, at most for wait, and
+// ChangesAfter waits until the copy is newer than a position, at most for wait, and
 // returns the changes.
-func (m *Mirror) ChangesAfter(ctx context.Context, revision uint64, wait time.Duration) Changes {
+func (m *Mirror) ChangesAfter(ctx context.Context, after fgstore.Position, wait time.Duration) Changes {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		changes, changed := m.changesAfter(revision)
-		if changes.Revision > revision || !changes.Fresh {
+		changes, changed := m.changesAfter(after)
+		if after.Before(changes.Position) || !changes.Fresh {
 			return changes
 		}
 		select {
@@ -124,16 +124,16 @@
 	}
 }
 
-// changesAfter returns the changes after a revision and a channel that is closed at
+// changesAfter returns the changes after a position and a channel that is closed at
 // the next one.
-func (m *Mirror) changesAfter(revision uint64) (Changes, <-chan struct{}) {
+func (m *Mirror) changesAfter(after fgstore.Position) (Changes, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := Changes{Revision: m.position.Revision, Recovering: time.Now().Before(m.graceEnd), Fresh: m.direct && !m.unreachable && m.position.Revision > 0}
-	if m.position.Revision <= revision {
+	c := Changes{Position: m.position, Recovering: time.Now().Before(m.graceEnd), Fresh: m.direct && !m.unreachable && m.position.Revision > 0}
+	if m.position.Compare(after) <= 0 {
 		return c, m.history.changed
 	}
-	events, ok := m.history.after(revision)
+	events, ok := m.history.after(after)
 	if !ok {
 		c.Complete = true
 		for _, e := range m.entries {
--- a/internal/coordination/fgmirror/contact_test.go
+++ b/internal/coordination/fgmirror/contact_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
@@ -40,14 +41,14 @@
 	return c
 }
 
-func (c *fakeContact) Changes(ctx context.Context, revision uint64) (Changes, error) {
+func (c *fakeContact) Changes(ctx context.Context, after fgstore.Position) (Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	if c.frozen.Load() {
 		<-ctx.Done()
 		return Changes{}, ctx.Err()
 	}
-	return c.mirror.Load().ChangesAfter(ctx, revision, followWait), nil
+	return c.mirror.Load().ChangesAfter(ctx, after, followWait), nil
 }
 
 func (c *fakeContact) Failed(string) { c.failed.Add(1) }
--- a/internal/coordination/fgmirror/history.go
+++ b/internal/coordination/fgmirror/history.go
@@ -12,8 +12,8 @@
 // history holds the latest changes of the copy.
 type history struct {
 	batches []historyBatch
-	// start is the revision after which the changes are complete.
-	start  uint64
+	// start is the position after which the changes are complete. All are of its era.
+	start  fgstore.Position
 	events int
 	bytes  int
 	// changed is closed at the next change.
@@ -35,8 +35,8 @@
 }
 
 // reset forgets all changes, because the copy was replaced.
-func (h *history) reset(revision uint64) {
-	h.batches, h.start, h.events, h.bytes = nil, revision, 0, 0
+func (h *history) reset(p fgstore.Position) {
+	h.batches, h.start, h.events, h.bytes = nil, p, 0, 0
 	h.notify()
 }
 
@@ -51,7 +51,7 @@
 	h.bytes += b.bytes
 	drop := 0
 	for ; drop < len(h.batches)-1 && (h.events > maxHistoryEvents || h.bytes > maxHistoryBytes || len(h.batches)-drop > maxHistoryEvents); drop++ {
-		h.start = h.batches[drop].revision
+		h.start.Revision = h.batches[drop].revision
 		h.events -= len(h.batches[drop].events)
 		h.bytes -= h.batches[drop].bytes
 	}
@@ -59,15 +59,15 @@
 	h.notify()
 }
 
-// after returns the changes after a revision. It reports false if they are not
+// after returns the changes after a position. It reports false if they are not
 // complete.
-func (h *history) after(revision uint64) ([]fgstore.Event, bool) {
-	if revision < h.start {
+func (h *history) after(p fgstore.Position) ([]fgstore.Event, bool) {
+	if p.Before(h.start) {
 		return nil, false
 	}
 	var events []fgstore.Event
 	for _, b := range h.batches {
-		if b.revision > revision {
+		if b.revision > p.Revision {
 			events = append(events, b.events...)
 		}
 	}
--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -35,7 +35,8 @@
 	maxBatchWait       = 500 * time.Millisecond
 	batchWaitPerMember = 15 * time.Millisecond
 	// retryDelay is the minimum time between the beginnings of calls to a store that
-	// fails. Run adds up to the same time at random.
+	// fails, and of reads of all entries. Run adds up to the same time at random to the
+	// first.
 	retryDelay = 250 * time.Millisecond
 	// maxWarnings bounds how many different warnings about policies are logged.
 	maxWarnings = 100
@@ -77,9 +78,14 @@
 // entry is a stored value with its decoded form.
 type entry struct {
 	value fgstore.Value
+	// era is the era of the store in which value was read.
+	era uint64
 	// deleteAt is when a deleted entry leaves the view. It is zero unless the
 	// deletion may be a consequence of an outage.
 	deleteAt time.Time
+	// hiddenUntil is when an entry that was deleted before the store was restored is back
+	// in the view.
+	hiddenUntil time.Time
 	// At most one of the following is set, and none if the value is invalid. zone is
 	// an availability zone that is draining.
 	policy   *fgsteer.Policy
@@ -88,6 +94,11 @@
 	zone     string
 }
 
+// position returns the position at which the entry was written.
+func (e *entry) position() fgstore.Position {
+	return fgstore.Position{Era: e.era, Revision: e.value.Revision}
+}
+
 // Mirror maintains a copy of the store. It is safe for concurrent use.
 type Mirror struct {
 	options Options
@@ -108,7 +119,9 @@
 	lastResponse time.Time
 	graceEnd     time.Time
 	entries      map[string]*entry
-	policy       *fgsteer.Policy
+	// deletions holds the entries that were deleted within deletionMemory.
+	deletions map[string]deletion
+	policy    *fgsteer.Policy
 	// warned holds the warnings about policies that were logged.
 	warned         map[string]bool
 	position       fgstore.Position
@@ -200,17 +213,23 @@
 // Run reads the store and follows its changes until ctx is done.
 func (m *Mirror) Run(ctx context.Context) error {
 	loaded := false
+	var lastRead time.Time
 	for ctx.Err() == nil {
 		start := time.Now()
+		if !loaded {
+			lastRead = start
+		}
 		err := m.step(ctx, &loaded)
 		switch {
 		case err == nil, ctx.Err() != nil:
 		case errors.Is(err, fgstore.ErrCompacted):
 			m.options.Logger.Info("platform store compacted its history, reading all entries", "revision", m.Revision())
 			loaded = false
+			_ = fgtimer.Wait(ctx, retryDelay-time.Since(lastRead))
 		case errors.Is(err, fgstore.ErrRestored):
 			m.options.Logger.Info("platform store was restored from an older copy, reading all entries", "era", m.Position().Era, "revision", m.Revision())
 			loaded = false
+			_ = fgtimer.Wait(ctx, retryDelay-time.Since(lastRead))
 		default:
 			m.RecordFailure(err)
 			m.options.Logger.Info("following the store failed", "error", err.Error(), "tookMs", time.Since(start).Milliseconds(),
@@ -230,7 +249,7 @@
 		}
 		m.RecordSuccess()
 		m.setDirect(true)
-		m.Replace(values, position, m.Recovering())
+		m.Replace(values, position, m.Recovering() || position.Era > m.Era())
 		m.recordCurrent()
 		*loaded = true
 		return nil
@@ -290,7 +309,7 @@
 func (m *Mirror) advance(p fgstore.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if p.Revision > m.position.Revision {
+	if m.position.Before(p) {
 		m.position = p
 		m.history.add(nil, p.Revision)
 	}
@@ -312,39 +331,51 @@
 
 // Replace replaces the copy by all values of the store at a position, which were
 // read from the store or received from a peer. A position before the copy's is
-// ignored. If recovering is set, the process that read the values was recovering
+// ignored, and one of a later era replaces only what is not newer here. If recovering is set, the process that read the values was recovering
 // from an outage of the store, and upstreams and members that are missing from the
 // values are kept for deletionGrace.
 func (m *Mirror) Replace(values []fgstore.Value, p fgstore.Position, recovering bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if p.Revision < m.position.Revision {
+	if p.Before(m.position) {
 		m.options.Logger.Info("copy of the store ignored, the one held is newer", "era", p.Era, "revision", p.Revision,
 			"heldEra", m.position.Era, "heldRevision", m.position.Revision)
 		return
 	}
+	restored := p.Era > m.position.Era && m.position.Revision > 0
+	if restored {
+		m.beginEra(p, recovering)
+	}
 	present := make(map[string]bool, len(values))
 	for _, v := range values {
 		present[v.Key] = true
-		m.put(v)
+		if restored {
+			m.putRestored(v, p.Era)
+		} else {
+			m.put(v, p.Era)
+		}
 	}
 	for key, e := range m.entries {
-		// An entry with a higher revision was written after the values were read.
-		if !present[key] && e.value.Revision <= p.Revision {
-			m.remove(key, e, recovering)
+		// An entry with a later position was written after the values were read.
+		if !present[key] && e.position().Compare(p) <= 0 {
+			m.remove(key, e, recovering && (e.isLeased() || restored && e.zone != ""))
 		}
 	}
 	m.position = p
-	m.history.reset(p.Revision)
+	m.history.reset(p)
 	m.publish()
 }
 
 // apply applies the changes up to a position. Those that the copy already includes are
-// ignored: a response that arrives late may lack the deletions that followed them.
+// ignored: a response that arrives late may lack the deletions that followed them. So are
+// those of another era.
 // recovering has the same meaning as for Replace.
 func (m *Mirror) apply(events []fgstore.Event, p fgstore.Position, recovering bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if p.Era != m.position.Era {
+		return
+	}
 	if newer := m.newer(events); len(newer) < len(events) {
 		m.options.Logger.Info("changes ignored that the copy of the store already includes", "ignored", len(events)-len(newer), "revision", m.position.Revision)
 		events = newer
@@ -352,13 +383,13 @@
 	for _, v := range events {
 		e := m.entries[v.Key]
 		switch {
-		case e != nil && e.value.Revision > v.Revision:
+		case e != nil && e.era == p.Era && e.value.Revision > v.Revision:
 		case v.Deleted:
 			if e != nil {
-				m.remove(v.Key, e, recovering)
+				m.remove(v.Key, e, recovering && e.isLeased())
 			}
 		default:
-			m.put(v.Value)
+			m.put(v.Value, p.Era)
 		}
 	}
 	m.position.Revision = max(m.position.Revision, p.Revision)
@@ -373,18 +404,22 @@
 
 // put stores a value unless the copy already holds that revision or a newer one.
 // It cancels a pending deletion. m.mu is held.
-func (m *Mirror) put(v fgstore.Value) {
-	if e := m.entries[v.Key]; e != nil && e.value.Revision >= v.Revision {
+func (m *Mirror) put(v fgstore.Value, era uint64) {
+	if e := m.entries[v.Key]; e != nil && e.era == era && e.value.Revision >= v.Revision {
 		e.deleteAt = time.Time{}
 		return
 	}
-	m.entries[v.Key] = m.decode(v)
+	m.entries[v.Key] = m.decode(v, era)
+	delete(m.deletions, v.Key)
 }
 
-// remove deletes an entry. During recovery, upstreams and members are kept until
-// their owners have had time to register again. m.mu is held.
-func (m *Mirror) remove(key string, e *entry, recovering bool) {
-	if recovering && (e.upstream != nil || e.member != nil) {
+// isLeased reports whether the entry expires when its owner does not renew it.
+func (e *entry) isLeased() bool { return e.upstream != nil || e.member != nil }
+
+// remove deletes an entry. If keep is set, as during recovery, it stays in the view until
+// its owner has had time to write it again. m.mu is held.
+func (m *Mirror) remove(key string, e *entry, keep bool) {
+	if keep {
 		if e.deleteAt.IsZero() {
 			e.deleteAt = m.graceEnd
 			if now := time.Now(); e.deleteAt.Before(now) {
@@ -395,13 +430,14 @@
 		return
 	}
 	delete(m.entries, key)
+	m.rememberDeletion(key, e)
 	m.options.Logger.Info("entry deleted", "key", key, "revision", e.value.Revision)
 }
 
 // decode decodes a value. A value that cannot be decoded contributes nothing to
 // the view; after an invalid policy the previous one stays in force.
-func (m *Mirror) decode(v fgstore.Value) *entry {
-	e := &entry{value: v}
+func (m *Mirror) decode(v fgstore.Value, era uint64) *entry {
+	e := &entry{value: v, era: era}
 	c := m.options.Codec
 	if zone, ok := c.DrainedZone(v.Key); ok {
 		e.zone = zone
@@ -410,6 +446,9 @@
 	policy, ok, err := c.Policy(v.Key, v.Data)
 	if ok && err == nil {
 		e.policy = policy
+		if m.policy != nil && policy.Version() < m.policy.Version() {
+			m.options.Logger.Info("older policy ignored", "version", policy.Version(), "inForce", m.policy.Version(), "era", era, "revision", v.Revision)
+		}
 	}
 	m.logInvalid(v, err)
 	upstream, ok, err := c.Upstream(v.Key, v.Data, time.Now())
@@ -446,18 +485,19 @@
 			remaining := e.deleteAt.Sub(now)
 			if remaining <= 0 {
 				delete(m.entries, key)
+				m.rememberDeletion(key, e)
 				m.options.Logger.Info("entry deleted, its owner did not register again after the outage", "key", key)
 				continue
 			}
-			republishAfter = max(republishAfter, remaining)
+			republishAfter = earlier(republishAfter, remaining)
+		}
+		if remaining := e.hiddenUntil.Sub(now); remaining > 0 {
+			republishAfter = earlier(republishAfter, remaining)
+			continue
 		}
 		switch {
 		case e.policy != nil:
-			if m.policy == nil || e.policy.Version() != m.policy.Version() {
-				m.options.Logger.Info("policy applied", "version", e.policy.Version(), "revision", e.value.Revision)
-				m.logWarnings(e.policy)
-			}
-			m.policy = e.policy
+			m.applyPolicy(e.policy, e.value.Revision)
 		case e.upstream != nil:
 			spec.Upstreams = append(spec.Upstreams, *e.upstream)
 		case e.member != nil:
@@ -475,6 +515,27 @@
 	m.scheduleRepublish(republishAfter)
 }
 
+// earlier returns the shorter of two durations, of which zero is none.
+func earlier(a, b time.Duration) time.Duration {
+	if a <= 0 {
+		return b
+	}
+	return min(a, b)
+}
+
+// applyPolicy puts a policy in force unless a later version is. A store that was restored
+// holds an older one until its operator writes the latest again. m.mu is held.
+func (m *Mirror) applyPolicy(p *fgsteer.Policy, revision uint64) {
+	switch {
+	case m.policy == nil || p.Version() > m.policy.Version():
+		m.options.Logger.Info("policy applied", "version", p.Version(), "revision", revision)
+		m.logWarnings(p)
+	case p.Version() < m.policy.Version():
+		return
+	}
+	m.policy = p
+}
+
 // logWarnings logs each warning about a policy once, as operators may keep what
 // causes it in all later versions. m.mu is held.
 func (m *Mirror) logWarnings(p *fgsteer.Policy) {
@@ -490,7 +551,7 @@
 	}
 }
 
-// scheduleRepublish publishes again when the last pending deletion is due.
+// scheduleRepublish publishes again when the next pending change of the view is due.
 func (m *Mirror) scheduleRepublish(after time.Duration) {
 	if after <= 0 {
 		return
--- a/internal/coordination/fgmirror/mirror_test.go
+++ b/internal/coordination/fgmirror/mirror_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -21,7 +22,8 @@
 var errUnreachable = errors.New("the store is unreachable")
 
 // fakeCodec decodes the keys "up/ID", "member/VM", "drain/ZONE" and "policy". The
-// version of a policy is the length of its data; the data "bad" is invalid.
+// version of a policy is the length of its data; the data "bad" is invalid. The data of an
+// upstream may end in "#" and the sequence of its report.
 type fakeCodec struct{}
 
 func (fakeCodec) Policy(key string, data []byte) (*fgsteer.Policy, bool, error) {
@@ -41,7 +43,9 @@
 	if ok && string(data) == "bad" {
 		return fgsteer.UpstreamSpec{}, true, errors.New("unreadable")
 	}
-	return fgsteer.UpstreamSpec{ID: id, Group: "g", Draining: string(data) == "draining"}, ok, nil
+	state, number, _ := strings.Cut(string(data), "#")
+	sequence, _ := strconv.ParseUint(number, 10, 64)
+	return fgsteer.UpstreamSpec{ID: id, Group: "g", Draining: state == "draining", Sequence: sequence}, ok, nil
 }
 
 func (fakeCodec) Member(key string, _ []byte) (fgsteer.MemberSpec, bool, error) {
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -43,9 +43,10 @@
 	// registered holds the gateways that are registered, or were and still report, as
 	// they registered.
 	registered map[string]fgsteer.MemberSpec
-	// behindSince is when a gateway first reported a revision that this one lacks.
-	behindSince    time.Time
-	behindRevision uint64
+	// behindSince is when a gateway first reported a position of the store that this one
+	// lacks, and behind that position.
+	behindSince time.Time
+	behind      fgstore.Position
 	// sequences tells new states from old ones, and queue holds those to be passed
 	// on to other regions.
 	sequences fgrelay.Sequences
@@ -59,7 +60,7 @@
 	address  string
 	received time.Time
 	leaving  bool
-	revision uint64
+	position fgstore.Position
 }
 
 // exchange sends this gateway's state to the others until the context ends.
@@ -91,9 +92,10 @@
 
 // sendState sends this gateway's state to the others.
 func (g *Gateway) sendState(s *fggossip.Socket, sequence uint64, elapsed time.Duration) {
+	position := g.mirror.Position()
 	state := &fgwire.GatewayState{
 		Vm: g.settings.Self.VM, Incarnation: g.settings.Self.Incarnation, Sequence: sequence,
-		StoreRevision: g.mirror.Revision(), StoreAgeMs: g.mirror.Age().Milliseconds(), Leaving: g.leaving.Load(),
+		StoreEra: position.Era, StoreRevision: position.Revision, StoreAgeMs: g.mirror.Age().Milliseconds(), Leaving: g.leaving.Load(),
 	}
 	for _, u := range g.limiter.Tick(elapsed) {
 		state.Workspaces = append(state.Workspaces, &fgwire.WorkspaceUse{
@@ -118,6 +120,7 @@
 	g.applyCrashReports(s.GetCrashes())
 	g.applyLimitReports(s.GetVm(), s.GetLimits())
 	now := time.Now()
+	position := fgstore.Position{Era: s.GetStoreEra(), Revision: s.GetStoreRevision()}
 	g.mirror.RecordResponse(now.Add(-time.Duration(s.GetStoreAgeMs()) * time.Millisecond))
 	p := &g.peers
 	p.mu.Lock()
@@ -133,13 +136,13 @@
 	if address == "" && old.incarnation == s.GetIncarnation() {
 		address = old.address
 	}
-	p.states[s.GetVm()] = peerState{incarnation: s.GetIncarnation(), address: address, received: now, leaving: s.GetLeaving(), revision: s.GetStoreRevision()}
-	ownRevision := g.mirror.Revision()
-	if ownRevision >= p.behindRevision {
+	p.states[s.GetVm()] = peerState{incarnation: s.GetIncarnation(), address: address, received: now, leaving: s.GetLeaving(), position: position}
+	own := g.mirror.Position()
+	if !own.Before(p.behind) {
 		p.behindSince = time.Time{}
 	}
-	if s.GetStoreRevision() > ownRevision && p.behindSince.IsZero() {
-		p.behindSince, p.behindRevision = now, s.GetStoreRevision()
+	if own.Before(position) && p.behindSince.IsZero() {
+		p.behindSince, p.behind = now, position
 	}
 }
 
@@ -227,11 +230,11 @@
 // isBehind reports whether a peer has had a newer copy of the store for so long that
 // this gateway should fetch one.
 func (g *Gateway) isBehind() bool {
-	ownRevision, delay := g.mirror.Revision(), catchUpDelay+g.mirror.BatchWait()
+	own, delay := g.mirror.Position(), catchUpDelay+g.mirror.BatchWait()
 	p := &g.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.behindSince.IsZero() && ownRevision < p.behindRevision && time.Since(p.behindSince) > delay
+	return !p.behindSince.IsZero() && own.Before(p.behind) && time.Since(p.behindSince) > delay
 }
 
 // catchUp fetches a peer's copy of the store if the store refuses this gateway's
@@ -251,13 +254,13 @@
 // nearestAhead returns the nearest gateway whose copy of the store is newer than this
 // one's: a copy is large.
 func (g *Gateway) nearestAhead(members []fgsteer.MemberSpec) (fgsteer.MemberSpec, bool) {
-	self, ownRevision := g.settings.Self, g.mirror.Revision()
+	self, own := g.settings.Self, g.mirror.Position()
 	g.peers.mu.Lock()
 	defer g.peers.mu.Unlock()
 	var nearest fgsteer.MemberSpec
 	best := 0
 	for _, m := range members {
-		if m.VM == self.VM || g.peers.states[m.VM].revision <= ownRevision {
+		if m.VM == self.VM || !own.Before(g.peers.states[m.VM].position) {
 			continue
 		}
 		nearness := 1
@@ -282,32 +285,33 @@
 }
 
 func (g *Gateway) fetchStore(ctx context.Context, address, source string) {
-	ownRevision := g.mirror.Revision()
-	response, err := fggossip.FetchStore(ctx, address, ownRevision)
+	own := g.mirror.Position()
+	response, err := fggossip.FetchStore(ctx, address, own)
 	if err != nil {
 		g.logger.Info("fetching a copy of the store failed", "from", source, "error", err.Error())
 		return
 	}
-	if response.GetRevision() <= ownRevision {
+	position := fgstore.Position{Era: response.GetEra(), Revision: response.GetRevision()}
+	if !own.Before(position) {
 		return
 	}
 	values := make([]fgstore.Value, len(response.GetEntries()))
 	for i, e := range response.GetEntries() {
 		values[i] = fgstore.Value{Key: e.GetKey(), Data: e.GetValue(), Revision: e.GetRevision()}
 	}
-	g.mirror.Replace(values, fgstore.Position{Revision: response.GetRevision()}, response.GetRecovering())
-	g.logger.Info("copy of the store fetched", "from", source, "revision", response.GetRevision(), "was", ownRevision, "storeAgeMs", g.mirror.Age().Milliseconds())
+	g.mirror.Replace(values, position, response.GetRecovering())
+	g.logger.Info("copy of the store fetched", "from", source, "era", position.Era, "revision", position.Revision, "wasEra", own.Era, "was", own.Revision, "storeAgeMs", g.mirror.Age().Milliseconds())
 }
 
 // storeService serves calls of other gateways.
 type storeService struct{ gateway *Gateway }
 
 // FetchStore returns this gateway's copy of the store, without entries if it is no
-// newer than the revision in the request.
+// newer than the position in the request.
 func (s storeService) FetchStore(_ context.Context, r *fgwire.StoreRequest) (*fgwire.StoreAnswer, error) {
 	values, position := s.gateway.mirror.Values()
-	response := &fgwire.StoreAnswer{Revision: position.Revision, Recovering: s.gateway.mirror.Recovering()}
-	if position.Revision <= r.GetRevision() {
+	response := &fgwire.StoreAnswer{Era: position.Era, Revision: position.Revision, Recovering: s.gateway.mirror.Recovering()}
+	if position.Compare(fgstore.Position{Era: r.GetEra(), Revision: r.GetRevision()}) <= 0 {
 		return response, nil
 	}
 	for _, v := range values {
--- a/internal/fggateway/exchange_test.go
+++ b/internal/fggateway/exchange_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 )
@@ -52,28 +53,44 @@
 // Guards against a withdrawn key that still works at a gateway whose requests the
 // store refuses while it serves the other gateways.
 func TestGatewayWithoutStoreCopiesPeer(t *testing.T) {
-	env := newTestEnv(t)
-	env.upstream("u1", respond)
-	a, b := env.gateway("vm-1", 1), env.gateway("vm-2", 1)
-	env.eventually("the gateways know each other", func() bool { return len(a.mirror.View().Members()) == 2 && len(b.mirror.View().Members()) == 2 })
-	// From here on b can learn of the change only from a peer.
-	values, position := env.feed.Values()
-	position.Revision++
-	env.policy.Version = 2
-	env.policy.Workspaces[0].Keys = []string{"new"}
-	data, err := json.Marshal(env.policy)
-	if err != nil {
-		t.Fatal(err)
-	}
-	env.feed.Fail(errors.New("the store refuses the request"))
-	for i := range values {
-		if values[i].Key == "policy" {
-			values[i].Data, values[i].Revision = data, position.Revision
-		}
+	tests := []struct {
+		name string
+		// next returns the position of the peer's copy.
+		next func(p fgstore.Position) fgstore.Position
+	}{
+		{"after a change", func(p fgstore.Position) fgstore.Position {
+			return fgstore.Position{Era: p.Era, Revision: p.Revision + 1}
+		}},
+		{"after the store was restored from an older copy", func(p fgstore.Position) fgstore.Position {
+			return fgstore.Position{Era: p.Era + 1, Revision: p.Revision - 1}
+		}},
 	}
-	a.mirror.Replace(values, position, false)
-	env.eventually("the other gateway refuses the old key", func() bool { return b.mustCall(t, http.MethodGet, "/read/x").status == 401 })
-	if got := b.mustCall(t, http.MethodGet, "/read/x", "T-Key", "new"); got.status != 200 {
-		t.Errorf("the new key got %+v", got)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			env := newTestEnv(t)
+			env.upstream("u1", respond)
+			a, b := env.gateway("vm-1", 1), env.gateway("vm-2", 1)
+			env.eventually("the gateways know each other", func() bool { return len(a.mirror.View().Members()) == 2 && len(b.mirror.View().Members()) == 2 })
+			// From here on b can learn of the change only from a peer.
+			values, position := env.feed.Values()
+			position = tt.next(position)
+			env.policy.Version = 2
+			env.policy.Workspaces[0].Keys = []string{"new"}
+			data, err := json.Marshal(env.policy)
+			if err != nil {
+				t.Fatal(err)
+			}
+			env.feed.Fail(errors.New("the store refuses the request"))
+			for i := range values {
+				if values[i].Key == "policy" {
+					values[i].Data, values[i].Revision = data, position.Revision
+				}
+			}
+			a.mirror.Replace(values, position, false)
+			env.eventually("the other gateway refuses the old key", func() bool { return b.mustCall(t, http.MethodGet, "/read/x").status == 401 })
+			if got := b.mustCall(t, http.MethodGet, "/read/x", "T-Key", "new"); got.status != 200 {
+				t.Errorf("the new key got %+v", got)
+			}
+		})
 	}
 }
--- a/internal/fgstandin/feed.go
+++ b/internal/fgstandin/feed.go
@@ -177,7 +177,7 @@
 	if f.failure != nil {
 		return f.failure
 	}
-	if _, ok := f.leases[l.ID]; !ok {
+	if _, ok := f.leases[l.ID]; !ok || l.Era != f.era {
 		return fgstore.ErrLeaseEnded
 	}
 	return nil
@@ -187,6 +187,9 @@
 func (f *Feed) Revoke(_ context.Context, l fgstore.Lease) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if l.Era != f.era {
+		return fgstore.ErrLeaseEnded
+	}
 	for _, key := range f.leases[l.ID] {
 		f.removeLocked(key)
 	}
@@ -220,18 +223,19 @@
 type FeedBackup struct {
 	values   map[string]fgstore.Value
 	revision uint64
+	leaseID  int64
 }
 
 // Backup returns a copy of the store.
 func (f *Feed) Backup() FeedBackup {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return FeedBackup{values: maps.Clone(f.values), revision: f.revision}
+	return FeedBackup{values: maps.Clone(f.values), revision: f.revision, leaseID: f.lastID}
 }
 
 // Restore goes back to a backup, as a store does that is restored after a failure: a new
-// era begins, the leases and the keys under them are gone, and revisions are given out
-// again.
+// era begins, the leases and the keys under them are gone, and revisions and IDs of
+// leases are given out again.
 func (f *Feed) Restore(b FeedBackup) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -241,7 +245,7 @@
 			delete(f.values, key)
 		}
 	}
-	f.leases = map[int64][]string{}
+	f.leases, f.lastID = map[int64][]string{}, b.leaseID
 	f.era++
 	f.notify()
 }
--- a/internal/state/fgsteer/view.go
+++ b/internal/state/fgsteer/view.go
@@ -25,6 +25,9 @@
 	ColdUntil time.Time
 	// Started is when the upstream's process started, by its own clock.
 	Started time.Time
+	// Sequence rises with each report of the upstream's process. Zero means that it is
+	// not known.
+	Sequence uint64
 }
 
 // Upstream is an upstream of a View.
--- a/internal/transport/fggossip/endless_test.go
+++ b/internal/transport/fggossip/endless_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
 )
 
@@ -25,7 +26,7 @@
 			}
 			defer endless.Close()
 			start := time.Now()
-			if _, err := FetchStore(t.Context(), endless.Address(), 0); err == nil {
+			if _, err := FetchStore(t.Context(), endless.Address(), fgstore.Position{}); err == nil {
 				t.Error("a copy was fetched")
 			}
 			if took := time.Since(start); took > 2*callTimeout {
--- a/internal/transport/fggossip/follower.go
+++ b/internal/transport/fggossip/follower.go
@@ -7,6 +7,7 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 )
 
@@ -24,9 +25,9 @@
 // the first call.
 func NewStoreFollower(address string) *StoreFollower { return &StoreFollower{address: address} }
 
-// Follow waits for changes after a revision, for about wait. After an error, the next
+// Follow waits for changes after a position, for about wait. After an error, the next
 // call opens another connection.
-func (f *StoreFollower) Follow(ctx context.Context, revision uint64, wait time.Duration) (*fgwire.StoreChanges, error) {
+func (f *StoreFollower) Follow(ctx context.Context, after fgstore.Position, wait time.Duration) (*fgwire.StoreChanges, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+followMargin)
 	defer cancel()
 	if f.rpc == nil {
@@ -37,7 +38,7 @@
 		}
 		f.rpc = drpcconn.New(c)
 	}
-	changes, err := fgwire.NewDRPCGatewayClient(f.rpc).FollowStore(ctx, &fgwire.FollowRequest{Revision: revision, WaitMs: wait.Milliseconds()})
+	changes, err := fgwire.NewDRPCGatewayClient(f.rpc).FollowStore(ctx, &fgwire.FollowRequest{Era: after.Era, Revision: after.Revision, WaitMs: wait.Milliseconds()})
 	if err != nil {
 		f.Close()
 	}
--- a/internal/transport/fggossip/socket.go
+++ b/internal/transport/fggossip/socket.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 )
 
@@ -106,8 +107,8 @@
 }
 
 // FetchStore requests a peer's copy of the store. The response has entries
-// only if the copy is newer than revision.
-func FetchStore(ctx context.Context, address string, revision uint64) (*fgwire.StoreAnswer, error) {
+// only if the copy is newer than the position.
+func FetchStore(ctx context.Context, address string, after fgstore.Position) (*fgwire.StoreAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var d net.Dialer
@@ -117,7 +118,7 @@
 	}
 	rpc := drpcconn.New(c)
 	defer func() { _ = rpc.Close() }()
-	return fgwire.NewDRPCGatewayClient(rpc).FetchStore(ctx, &fgwire.StoreRequest{Revision: revision})
+	return fgwire.NewDRPCGatewayClient(rpc).FetchStore(ctx, &fgwire.StoreRequest{Era: after.Era, Revision: after.Revision})
 }
 
 // MeasureRTT returns the round-trip time to a peer, measured as the time that it
