Tell a gateway without a path to the upstreams from upstreams that fail

A failed send names one upstream, so that neither lines nor metrics showed that a gateway reached none at all. fgpath tracks it by attempts to connect and responses: at least three different upstreams in a row, and no response for a second. While the path is not open, two upstreams are probed every 0.5 s, so that an open path is noticed.

No decision depends on it yet.

--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -165,6 +165,7 @@
 	response, err := g.pool.Send(ctx, fgpool.Target{ID: spec.ID, Address: spec.Address}, fgpool.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: q.header, Body: q.body,
 		Accept: func(res *http.Response, reused bool) bool {
+			g.path.RecordResponse()
 			meta = g.dialect.ReadResponse(res)
 			// A refusal may name no request. On a reused connection it may be a late
 			// copy that belongs to an earlier one, while this request runs.
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmirror"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgpath"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgquota"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/fglog"
@@ -95,6 +96,8 @@
 	EncodeMember func(fgsteer.MemberSpec) (string, []byte, error)
 	Dialect      fgmessage.Dialect
 	Logger       logr.Logger
+	// DialUpstream opens connections to upstreams. Nil means a net.Dialer.
+	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
 	// DroppedLines returns the number of dropped log lines. Nil means that none are
 	// dropped.
 	DroppedLines func() int64
@@ -118,6 +121,7 @@
 	contacts    contacts
 	plan        atomic.Pointer[exchangePlan]
 	pool        fgpool.Pool
+	path        fgpath.Tracker
 	logSamplers logSamplers
 	sockets     sockets
 	bounds      atomic.Pointer[Bounds]
@@ -172,6 +176,7 @@
 	}
 	g.bodies.limit = o.Settings.MemoryBytes / bodyMemoryDivisor
 	g.pool.SetMaxHeadBytes(o.Settings.MaxResponseHeaderBytes)
+	g.pool.SetHooks(fgpool.Hooks{Dial: o.DialUpstream, Connected: g.observeConnection})
 	g.SetBounds(o.Settings.Bounds)
 	g.contacts.gateway = g
 	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.applyView, Contact: g.contacts.next})
@@ -189,6 +194,7 @@
 		StoreAge: g.mirror.Age, StoreCopyAge: g.mirror.CopyAge, StoreRevision: g.mirror.Revision, StoreEra: g.mirror.Era, ConnectionsOpened: g.pool.Opened, ConnectionsReused: g.pool.Reused, DroppedLines: dropped,
 		CallerConnections: func() int64 { return g.sockets.callers.Accepted() },
 		LimitedUpstreams:  g.balancer.LimitedUpstreams,
+		PathStatus:        func() int { return int(g.path.Status()) },
 		PolicyVersion: func() int64 {
 			if v := g.mirror.View(); v != nil && v.Policy() != nil {
 				return v.Policy().Version()
@@ -202,13 +208,10 @@
 			return 0
 		},
 		Upstreams: func() int {
-			n := 0
 			if v := g.mirror.View(); v != nil {
-				for _, all := range v.Groups() {
-					n += len(all)
-				}
+				return countUpstreams(v)
 			}
-			return n
+			return 0
 		},
 	})
 }
@@ -224,6 +227,7 @@
 // applyView applies a new view.
 func (g *Gateway) applyView(v *fgsteer.View) {
 	g.balancer.Update(v)
+	g.path.SetUpstreams(countUpstreams(v))
 	// This VM may serve requests before its own entry is in the view.
 	vms := []string{g.settings.Self.VM}
 	for _, m := range v.Members() {
@@ -302,6 +306,7 @@
 		{"peer calls", func(ctx context.Context) error { return g.sockets.peers.Serve(ctx, storeService{g}) }},
 		{"mirror", g.mirror.Run},
 		{"pool", g.pool.Run},
+		{"path", g.watchPath},
 		{"distances", g.measureRTTs},
 	}
 	results := make(chan error, len(tasks))
--- a/internal/transport/fgpool/conn.go
+++ b/internal/transport/fgpool/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"net"
 	"syscall"
 	"time"
@@ -63,9 +62,9 @@
 	return n, err
 }
 
-// dial opens a connection to an upstream and sets TCP_USER_TIMEOUT.
-func dial(ctx context.Context, address string) (*conn, error) {
-	netConn, err := dialer.DialContext(ctx, "tcp", address)
+// newUpstreamConn returns a connection that was opened, with TCP_USER_TIMEOUT set, or the
+// error of opening it.
+func newUpstreamConn(netConn net.Conn, err error) (*conn, error) {
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/fgpool/pool.go
+++ b/internal/transport/fgpool/pool.go
@@ -29,7 +29,8 @@
 	// userTimeout is TCP_USER_TIMEOUT: how long sent data may stay unacknowledged
 	// before the kernel closes the connection.
 	userTimeout = 2 * time.Second
-	// TCP keep-alive probes detect an unresponsive peer on an idle connection.
+	// TCP keep-alive probes detect an unresponsive peer on an idle connection. On Linux
+	// they give up after userTimeout, whatever their count.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
@@ -100,8 +101,21 @@
 	opened, reused atomic.Int64
 	connectTimeout atomic.Int64
 	maxHeadBytes   atomic.Int64
+	hooks          Hooks
 }
 
+// Hooks are optional functions of a Pool.
+type Hooks struct {
+	// Dial opens connections instead of a net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Connected is called after each attempt to open a connection that its context did
+	// not end. err is nil if it succeeded.
+	Connected func(t Target, err error)
+}
+
+// SetHooks sets the hooks. It must be called before the pool is used.
+func (p *Pool) SetHooks(h Hooks) { p.hooks = h }
+
 // SetMaxHeadBytes sets the size of the largest head of a response. A value of zero
 // or less restores the default.
 func (p *Pool) SetMaxHeadBytes(n int) { p.maxHeadBytes.Store(int64(n)) }
@@ -316,9 +330,24 @@
 	if timeout <= 0 {
 		timeout = defaultConnectTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return dial(ctx, t.Address)
+	dial := p.hooks.Dial
+	if dial == nil {
+		dial = dialer.DialContext
+	}
+	c, err := newUpstreamConn(dial(dialCtx, "tcp", t.Address))
+	if p.hooks.Connected != nil && (err == nil || ctx.Err() == nil) {
+		p.hooks.Connected(t, err)
+	}
+	return c, err
+}
+
+// HasIdle reports whether there is an idle connection to a target.
+func (p *Pool) HasIdle(t Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[t.key()]) > 0
 }
 
 // ProbeResult is what an attempt to connect shows about an upstream.
