Send requests through other gateways without a path to the upstreams

Cause: a gateway had only its own connections to the upstreams. Silent ones counted as full, so that most requests were refused at once, and look-ups kept naming the gateway.

While fgpath says that the path is lost, requests now go through another gateway, which admits them like a caller's and says whether they ran. States tell the others, and look-ups leave the gateway out. When a connection succeeds again, what failures showed about the upstreams is forgotten.

--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -170,6 +170,24 @@
 	u.backOff(int64(time.Since(b.epoch)))
 }
 
+// ForgetFailures forgets what failures showed about the upstreams, because the VM had lost
+// its path to them.
+func (b *Balancer) ForgetFailures() {
+	for _, g := range b.state.Load().groups {
+		for _, u := range g.upstreams {
+			u.forgetFailures()
+		}
+	}
+}
+
+func (u *Upstream) forgetFailures() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.failureRate, u.backoff, u.overdueCount, u.slowBackoff = 0, 0, 0, 0
+	u.avoidUntil.Store(0)
+	u.otherLoad.Store(0)
+}
+
 // RecordOverdue records that a response is overdue. A single one may be a cold run,
 // but after slowThreshold in a row the upstream counts as slow: it is avoided for a
 // duration that doubles until it responds in time.
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/filbertgap/filbertgap/internal/coordination/fgpath"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgquota"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgrelay"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
@@ -60,6 +61,8 @@
 	address  string
 	received time.Time
 	leaving  bool
+	// noPath means that the gateway does not reach the upstreams.
+	noPath   bool
 	position fgstore.Position
 }
 
@@ -96,6 +99,7 @@
 	state := &fgwire.GatewayState{
 		Vm: g.settings.Self.VM, Incarnation: g.settings.Self.Incarnation, Sequence: sequence,
 		StoreEra: position.Era, StoreRevision: position.Revision, StoreAgeMs: g.mirror.Age().Milliseconds(), Leaving: g.leaving.Load(),
+		NoPath: g.path.Status() != fgpath.Open,
 	}
 	for _, u := range g.limiter.Tick(elapsed) {
 		state.Workspaces = append(state.Workspaces, &fgwire.WorkspaceUse{
@@ -130,13 +134,13 @@
 		p.firstReceived = now
 	}
 	old, ok := p.states[s.GetVm()]
-	if !ok || old.incarnation != s.GetIncarnation() || old.leaving != s.GetLeaving() {
-		g.logger.Info("gateway state changed", "vm", s.GetVm(), "incarnation", s.GetIncarnation(), "leaving", s.GetLeaving())
+	if !ok || old.incarnation != s.GetIncarnation() || old.leaving != s.GetLeaving() || old.noPath != s.GetNoPath() {
+		g.logger.Info("gateway state changed", "vm", s.GetVm(), "incarnation", s.GetIncarnation(), "leaving", s.GetLeaving(), "noPath", s.GetNoPath())
 	}
 	if address == "" && old.incarnation == s.GetIncarnation() {
 		address = old.address
 	}
-	p.states[s.GetVm()] = peerState{incarnation: s.GetIncarnation(), address: address, received: now, leaving: s.GetLeaving(), position: position}
+	p.states[s.GetVm()] = peerState{incarnation: s.GetIncarnation(), address: address, received: now, leaving: s.GetLeaving(), noPath: s.GetNoPath(), position: position}
 	own := g.mirror.Position()
 	if !own.Before(p.behind) {
 		p.behindSince = time.Time{}
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -36,7 +37,8 @@
 )
 
 // upstreamResponse is an upstream's response with the part of its body that was
-// read. complete means that this is the whole body.
+// read. complete means that this is the whole body. It came from the upstream, or from the
+// gateway peer if upstream is nil.
 type upstreamResponse struct {
 	*fgpool.Response
 
@@ -44,7 +46,8 @@
 	body     []byte
 	complete bool
 	upstream *fgaffinity.Upstream
-	// result is the result to record for the upstream.
+	peer     string
+	// result is the result to record for the upstream or the peer.
 	result fgaffinity.Result
 	// cancel releases the context of the exchange.
 	cancel context.CancelFunc
@@ -52,19 +55,18 @@
 
 // close ends the exchange with the upstream. The connection is kept only if the
 // response named its request: without a name, a second copy that arrives late could
-// not be told from the response to the next request.
+// not be told from the response to the next request. Gateways send one response only.
 func (r *upstreamResponse) close(complete bool) {
-	r.Close(complete && r.meta.AttemptID != "", r.meta.IdleTimeout)
+	r.Close(complete && (r.meta.AttemptID != "" || r.upstream == nil), r.meta.IdleTimeout)
 	r.cancel()
 }
 
-// forward sends a request to upstreams until one responds or no further retry is
-// allowed.
+// forward sends a request to upstreams, directly or through another gateway, until one
+// responds or no further retry is allowed.
 func (g *Gateway) forward(w http.ResponseWriter, r *http.Request, q *request) {
 	ctx, cancel := q.context(r)
 	defer cancel()
 	q.group = g.groups.Pick(q.route, q.affinityKey())
-	g.retryBudget.CountRequest(q.group)
 	unreached := 0
 	var refused *refusal
 	// next is the upstream for a retry that was already taken from the retry budget
@@ -78,20 +80,27 @@
 			refused = q.lateRefusal()
 			break
 		}
-		u := next
-		if u == nil {
-			var err error
-			if u, err = g.balancer.Choose(q.criteria()); err != nil {
-				if refused == nil {
-					refused = q.unservedRefusal(codeNoRoom, err.Error())
-				}
-				break
+		chosen, err := g.chooseWay(q, next, unreached)
+		next = nil
+		if err != nil {
+			if refused == nil {
+				refused = q.unservedRefusal(codeNoRoom, err.Error())
 			}
+			break
+		}
+		var o sendOutcome
+		switch way := chosen.(type) {
+		case direct:
+			o = g.sendDirect(ctx, r, q, way.upstream)
+		case detour:
+			o = g.sendDetour(ctx, r, q, way.peer)
+		default:
+			panic(fmt.Sprintf("unknown way %T", way))
 		}
-		q.chosen = append(q.chosen, u)
-		o := g.send(ctx, r, q, u)
 		if o.refusal == nil {
-			g.recordCompletion(r, q)
+			if o.response.upstream != nil {
+				g.recordCompletion(r, q)
+			}
 			g.deliver(w, r, q, o.response)
 			return
 		}
@@ -105,13 +114,11 @@
 		if next != nil {
 			continue
 		}
-		if ctx.Err() != nil || !g.mayRetry(q) || !g.retryBudget.TakeRetry(q.group) {
+		if o.final || ctx.Err() != nil || !g.mayRetry(q) || !g.retryBudget.TakeRetry(q.group) {
 			break
 		}
 	}
-	if next != nil {
-		g.finishSend(next, q.group, fgaffinity.Left)
-	}
+	g.release(q, next)
 	if r.Context().Err() != nil {
 		g.refundToken(q)
 		g.finishRequest(q, statusCallerLeft, codeCallerLeft, "the caller disconnected", "")
@@ -120,6 +127,22 @@
 	g.refuse(w, q, refused)
 }
 
+// sendDirect sends a request to one upstream, and counts the request at the first one.
+func (g *Gateway) sendDirect(ctx context.Context, r *http.Request, q *request, u *fgaffinity.Upstream) sendOutcome {
+	if q.tokenDeferred {
+		q.tokenDeferred = false
+		if refused := g.takeToken(q); refused != nil {
+			g.release(q, u)
+			return sendOutcome{result: fgaffinity.Left, refusal: refused, final: true}
+		}
+	}
+	if len(q.chosen) == 0 {
+		g.retryBudget.CountRequest(q.group)
+	}
+	q.chosen = append(q.chosen, u)
+	return g.send(ctx, r, q, u)
+}
+
 // statusCallerLeft is logged as the status if the caller disconnected before the
 // end of the response.
 const statusCallerLeft = 499
@@ -148,6 +171,8 @@
 	refusal  *refusal
 	// next is the upstream for the retry if the send was abandoned.
 	next *fgaffinity.Upstream
+	// final means that no further send may follow.
+	final bool
 }
 
 // send sends a request to one upstream.
@@ -303,12 +328,21 @@
 		_, err = io.Copy(w, res.Body)
 	}
 	res.close(err == nil)
-	g.finishSend(res.upstream, q.group, res.result)
+	end, reason, upstream := codeAnswered, "the upstream responded", ""
+	if res.upstream != nil {
+		g.finishSend(res.upstream, q.group, res.result)
+		upstream = res.upstream.Spec().ID
+	} else {
+		g.metrics.DetourEnded(res.result.String())
+		if !res.meta.Signed {
+			end, reason = codePeerRefused, "another gateway responded itself"
+		}
+	}
 	if err != nil {
-		g.finishRequest(q, statusCallerLeft, codeAnswerCut, "passing on the response failed: "+err.Error(), res.upstream.Spec().ID)
+		g.finishRequest(q, statusCallerLeft, codeAnswerCut, "passing on the response failed: "+err.Error(), upstream)
 		abortResponse(r)
 	}
-	g.finishRequest(q, res.StatusCode, codeAnswered, "the upstream responded", res.upstream.Spec().ID)
+	g.finishRequest(q, res.StatusCode, end, reason, upstream)
 }
 
 // abortResponse ends the caller's connection, so that a response that is not
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -122,6 +122,7 @@
 	plan        atomic.Pointer[exchangePlan]
 	pool        fgpool.Pool
 	path        fgpath.Tracker
+	peerPool    fgpool.Pool
 	logSamplers logSamplers
 	sockets     sockets
 	bounds      atomic.Pointer[Bounds]
@@ -307,6 +308,7 @@
 		{"mirror", g.mirror.Run},
 		{"pool", g.pool.Run},
 		{"path", g.watchPath},
+		{"peer pool", g.peerPool.Run},
 		{"distances", g.measureRTTs},
 	}
 	results := make(chan error, len(tasks))
--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -42,6 +42,10 @@
 	h.Set("T-Left", strconv.FormatInt(f.RemainingTime.Milliseconds(), 10))
 }
 
+func (testDialect) WriteRemainingTime(h http.Header, remaining time.Duration) {
+	h.Set("T-Patience", strconv.FormatInt(remaining.Milliseconds(), 10))
+}
+
 func (testDialect) ReadResponse(r *http.Response) fgmessage.Response {
 	limit, err := strconv.ParseFloat(r.Header.Get("T-Limit"), 64)
 	return fgmessage.Response{
@@ -129,11 +133,13 @@
 	feed   *fgstandin.Feed
 	policy fgsteer.PolicySpec
 	logs   logBuffer
+	// links are the paths of gateways to the upstreams, by VM. The others have no faults.
+	links map[string]*upstreamLink
 }
 
 func newTestEnv(t *testing.T) *testEnv {
 	t.Helper()
-	env := &testEnv{t: t, feed: fgstandin.NewFeed()}
+	env := &testEnv{t: t, feed: fgstandin.NewFeed(), links: map[string]*upstreamLink{}}
 	env.policy = fgsteer.PolicySpec{
 		Version: 1,
 		Routes: []fgsteer.RouteSpec{
@@ -183,7 +189,7 @@
 // startGateway starts a gateway.
 func (env *testEnv) startGateway(vm string) *testGateway {
 	env.t.Helper()
-	g := New(Options{
+	options := Options{
 		Settings: Settings{
 			Self: fgsteer.MemberSpec{VM: vm, Region: "east"}, CallerListen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0",
 			LookupListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", MetricsListen: "127.0.0.1:0",
@@ -194,7 +200,11 @@
 		},
 		Feed: env.feed, Codec: testCodec{}, EncodeMember: encodeMember, Dialect: testDialect{},
 		Logger: logr.FromSlogHandler(slog.NewJSONHandler(&env.logs, nil)),
-	})
+	}
+	if l := env.links[vm]; l != nil {
+		options.DialUpstream = l.dial
+	}
+	g := New(options)
 	if err := g.Listen(); err != nil {
 		env.t.Fatal(err)
 	}
--- a/internal/fggateway/lookup.go
+++ b/internal/fggateway/lookup.go
@@ -7,6 +7,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fglookup"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgpath"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 )
@@ -42,24 +43,40 @@
 // addresses returns the addresses of available gateways in the caller's region, or in
 // all regions if it has none; gateways of higher capacity are in more responses.
 // Requests of a route that is restricted to regions therefore do not enter through
-// another region while the caller's own has a gateway.
+// another region while the caller's own has a gateway. Gateways that do not reach the
+// upstreams are left out while there are others.
 func (g *Gateway) addresses(v *fgsteer.View, query fgmessage.Lookup) []string {
-	var sameRegion, all []fglookup.Candidate
+	var sameRegion, all, noPath []fglookup.Candidate
 	for _, m := range v.Members() {
 		if !g.isAvailable(m.VM) {
 			continue
 		}
 		c := fglookup.Candidate{Address: m.CallerAddress, Capacity: m.Capacity}
-		all = append(all, c)
-		if m.Region == query.Region {
+		switch {
+		case !g.hasPath(m.VM):
+			noPath = append(noPath, c)
+			continue
+		case m.Region == query.Region:
 			sameRegion = append(sameRegion, c)
 		}
+		all = append(all, c)
 	}
-	if len(sameRegion) > 0 {
+	switch {
+	case len(sameRegion) > 0:
 		all = sameRegion
+	case len(all) == 0:
+		all = noPath
 	}
 	if len(all) == 0 && !g.leaving.Load() {
 		all = []fglookup.Candidate{{Address: g.settings.Self.CallerAddress}}
 	}
 	return fglookup.Spread(g.settings.Self.CallerAddress, all, maxAddresses)
 }
+
+// hasPath reports whether a gateway reaches the upstreams, as far as known.
+func (g *Gateway) hasPath(vm string) bool {
+	if vm == g.settings.Self.VM {
+		return g.path.Status() == fgpath.Open
+	}
+	return !g.peers.hasNoPath(vm)
+}
--- a/internal/fggateway/path.go
+++ b/internal/fggateway/path.go
@@ -25,6 +25,10 @@
 		g.path.RecordFailed(t.ID)
 		return
 	}
+	if g.path.Status() == fgpath.Lost {
+		// What failed until now says nothing about the upstreams.
+		g.balancer.ForgetFailures()
+	}
 	g.path.RecordConnected()
 }
 
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
+	"github.com/filbertgap/filbertgap/internal/coordination/fgpath"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
@@ -36,8 +37,14 @@
 	// mayHaveRun means that an upstream may have run the request.
 	mayHaveRun bool
 	sends      int
-	// tokenTaken means that a token of the workspace was taken.
-	tokenTaken bool
+	// detoured means that another gateway has sent the request. detours lists the gateways
+	// through which this one has.
+	detoured bool
+	detours  []string
+	// tokenTaken means that a token of the workspace was taken. tokenDeferred means that
+	// it is taken only if the request does not go through another gateway, which takes one.
+	tokenTaken    bool
+	tokenDeferred bool
 }
 
 // code identifies the reason for the end of a request in logs and metrics.
@@ -63,6 +70,7 @@
 	codeLate        code = "late"
 	codeCrashes     code = "crashes-upstreams"
 	codeNoMemory    code = "no-memory"
+	codePeerRefused code = "peer-refused"
 )
 
 // refusal is an error response that the gateway generates itself.
@@ -77,6 +85,7 @@
 // serveCaller serves one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	q := &request{Request: g.dialect.ReadRequest(r.Header), start: time.Now(), view: g.mirror.View()}
+	q.readDetour(r.Header)
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -142,6 +151,12 @@
 	if refused := g.refuseCrashing(r, q); refused != nil {
 		return refused
 	}
+	if g.path.Status() == fgpath.Lost {
+		if _, ok := g.detourPeer(q); ok {
+			q.tokenDeferred = true
+			return nil
+		}
+	}
 	return g.takeToken(q)
 }
 
@@ -174,12 +189,13 @@
 
 // forwardedHeader returns a copy without the fields that apply to one connection
 // only. It also lacks Content-Length, which is set for each message, and Expect,
-// since the body was read before.
+// since the body was read before, and the mark of a detour.
 func forwardedHeader(h http.Header) http.Header {
 	out := h.Clone()
 	fgheader.RemoveHopByHop(out)
 	delete(out, "Content-Length")
 	delete(out, "Expect")
+	delete(out, detourHeader)
 	return out
 }
 
@@ -233,7 +249,7 @@
 	if q.workspace != nil {
 		workspace = q.workspace.Name
 	}
-	if upstream == "" && len(q.chosen) > 0 {
+	if upstream == "" && len(q.chosen) > 0 && len(q.detours) == 0 {
 		upstream = q.chosen[len(q.chosen)-1].Spec().ID
 	}
 	if q.view != nil {
@@ -243,6 +259,6 @@
 		}
 	}
 	g.logger.Info("request ended", "attempt", q.AttemptID, "status", status, "code", c, "reason", reason, "route", routeName,
-		"workspace", workspace, "group", q.group, "object", q.AffinityKey, "upstream", upstream, "sends", q.sends, "ms", took.Milliseconds(),
+		"workspace", workspace, "group", q.group, "object", q.AffinityKey, "upstream", upstream, "peers", q.detours, "sends", q.sends, "ms", took.Milliseconds(),
 		"policy", version, "revision", revision, "storeAgeMs", g.mirror.Age().Milliseconds(), "copyAgeMs", g.mirror.CopyAge().Milliseconds(), "skippedLines", skipped)
 }
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -16,6 +16,7 @@
 	latency  *prometheus.HistogramVec
 	sends    *prometheus.CounterVec
 	peers    *prometheus.CounterVec
+	detours  *prometheus.CounterVec
 }
 
 // GatewayCallbacks holds functions that return the current values of metrics. They
@@ -48,8 +49,10 @@
 			Help: "Requests handed to upstreams by group and how they ended."}, []string{"group", "result"}),
 		peers: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_peer_bytes_total",
 			Help: "Bytes sent to other gateways by kind and by how far they travel: zone, region, remote."}, []string{"kind", "reach"}),
+		detours: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_detours_total",
+			Help: "Requests sent through other gateways by how they ended."}, []string{"result"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers,
+	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours,
 		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return c.StoreAge().Seconds() }),
 		gauge("gateway_store_copy_age_seconds", "Time since the copy of the store was last known to hold all changes.", func() float64 { return c.StoreCopyAge().Seconds() }),
 		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(c.StoreRevision()) }),
@@ -95,3 +98,6 @@
 
 // SendEnded records a send of a request to an upstream of a group.
 func (m *Gateway) SendEnded(group, result string) { m.sends.WithLabelValues(group, result).Inc() }
+
+// DetourEnded records a request that was sent through another gateway.
+func (m *Gateway) DetourEnded(result string) { m.detours.WithLabelValues(result).Inc() }
--- a/internal/protocol/fgmessage/message.go
+++ b/internal/protocol/fgmessage/message.go
@@ -84,6 +84,9 @@
 	ReadRequest(h http.Header) Request
 	// WriteForward modifies h, a copy of a caller's header, for an upstream.
 	WriteForward(h http.Header, f Forward)
+	// WriteRemainingTime sets what remains of the caller's timeout in h, a copy of a
+	// caller's header, for another gateway.
+	WriteRemainingTime(h http.Header, remaining time.Duration)
 	// ReadResponse decodes the header of an upstream's response.
 	ReadResponse(r *http.Response) Response
 	// Ready returns the method and path of readiness checks.
