--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	go test -run '^$$' -fuzz FuzzBody -fuzztime 10s -parallel 4 ./internal/protocol/fgkey
 	go test -run '^$$' -fuzz FuzzResponse -fuzztime 10s -parallel 4 ./internal/transport/fgpool
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 10s -parallel 4 ./pkg/fgapi
+	go test -run '^$$' -fuzz FuzzUpstreamEntry -fuzztime 10s -parallel 4 ./platform
 
 # Needs protoc; the generated code is committed, so that a build does not.
 generate:
