Test refusals that are written twice and heads that break off

Two more reports of other operators: an earlier refusal, written once more on a kept connection, said of a request that runs that it had not run; a response whose head breaks off reached callers as a 200 with an empty body. Neither happens here: a refusal counts only with the request's own id, or without one on a new connection, and a head that ends before its last line is an error at each of its bytes.

--- a/internal/fggateway/reports_test.go
+++ b/internal/fggateway/reports_test.go
@@ -73,6 +73,7 @@
 		first, late string
 		firstStatus int
 	}{
+		{"refusal, twice", namedRefusal, namedRefusal + namedRefusal, 503},
 		{"response", encodeResponse("%s", "first"), encodeResponse("%s", "first"), 200},
 		{"refusal", namedRefusal, namedRefusal, 503},
 		{"refusal without an id", namedRefusal, anonymousRefusal, 503},
@@ -430,6 +431,35 @@
 	}
 }
 
+// Guards against a response whose head breaks off and that reaches the caller as a success
+// with an empty or a short body.
+func TestHeadBreaksOff(t *testing.T) {
+	tests := []struct{ name, head string }{
+		{"in the status line", "HTTP/1.1 200"},
+		{"after the status line", "HTTP/1.1 200 OK\r\n"},
+		{"in a field's name", "HTTP/1.1 200 OK\r\nT-Id: a\r\nT-Signed: s\r\nContent-Le"},
+		{"in the length", "HTTP/1.1 200 OK\r\nT-Id: a\r\nT-Signed: s\r\nContent-Length: 1"},
+		{"before the last line", "HTTP/1.1 200 OK\r\nT-Id: a\r\nT-Signed: s\r\nContent-Length: 1\r\n"},
+		{"in the last line", "HTTP/1.1 200 OK\r\nT-Id: a\r\nT-Signed: s\r\nContent-Length: 1\r\n\r"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			env := newTestEnv(t)
+			env.rawUpstream("u1", func(_ int, c net.Conn, r *bufio.Reader) {
+				if _, err := readRequest(r); err == nil {
+					_, _ = io.WriteString(c, tt.head)
+				}
+			})
+			g := env.gateway("vm-1", 1)
+			for _, method := range []string{http.MethodPost, http.MethodGet} {
+				if res := g.mustCall(t, method, "/write/x", "T-Id", "a"); res.status != http.StatusBadGateway {
+					t.Errorf("%s got %+v, want status 502", method, res)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a download that is kept whole, continues after its caller has left,
 // or is not sent again although it broke before its first byte reached the caller.
 func TestDownload(t *testing.T) {
--- a/internal/transport/fgpool/pool_test.go
+++ b/internal/transport/fgpool/pool_test.go
@@ -238,6 +238,22 @@
 	}
 }
 
+// Guards against a response that is taken for complete although its connection ended
+// within its head.
+func TestHeadBreaksOff(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\nX: y\r\n\r\n"
+	target := startUpstream(t, func(n int, c net.Conn, r *bufio.Reader) {
+		_, _ = readRequest(r)
+		_, _ = io.WriteString(c, head[:n-1])
+	})
+	p := &Pool{}
+	for i := range len(head) {
+		if res, err := p.Send(t.Context(), target, request("1")); !errors.Is(err, ErrNoResponse) {
+			t.Fatalf("a head of %d bytes was read as %+v, error %v", i, res, err)
+		}
+	}
+}
+
 // Guards against an upstream that keeps running a request after its caller has
 // disconnected: cancelling the context closes the connection.
 func TestCancelClosesConnection(t *testing.T) {
--- a/internal/transport/fgupstream/client_test.go
+++ b/internal/transport/fgupstream/client_test.go
@@ -163,6 +163,7 @@
 		{"503 without declaration", t.Context(), respondWith("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n").address(), Answered},
 		{"declaration on another status", t.Context(), respondWith("HTTP/1.1 500 x\r\nRequest-Not-Run: true\r\nContent-Length: 0\r\n\r\n").address(), Answered},
 		{"truncated header", t.Context(), respondWith("HTTP/1.1 503 x\r\nRequest-Not-Run: true\r\n").address(), Lost},
+		{"truncated length", t.Context(), respondWith("HTTP/1.1 200 OK\r\nContent-Length: 1").address(), Lost},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
