--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -38,8 +37,6 @@
 	// fails, and of reads of all entries. Run adds up to the same time at random to the
 	// first.
 	retryDelay = 250 * time.Millisecond
-	// maxWarnings bounds how many different warnings about policies are logged.
-	maxWarnings = 100
 	// deletionGrace is how long entries that were deleted during an outage of the
 	// store are kept after it ends. Their owners register again within about 2 s.
 	deletionGrace = 2 * time.Second
@@ -49,19 +46,6 @@
 	minOutage = 2 * time.Second
 )
 
-// Codec decodes the entries of the store.
-type Codec interface {
-	// Policy decodes a policy. It reports false if the key does not hold one.
-	Policy(key string, data []byte) (*fgsteer.Policy, bool, error)
-	// DrainedZone returns the availability zone that the key marks as draining.
-	DrainedZone(key string) (zone string, ok bool)
-	// Upstream decodes an upstream. It reports false if the key does not hold
-	// one. The time that the upstream stays cold counts from now.
-	Upstream(key string, data []byte, now time.Time) (fgsteer.UpstreamSpec, bool, error)
-	// Member decodes a gateway. It reports false if the key does not hold one.
-	Member(key string, data []byte) (fgsteer.MemberSpec, bool, error)
-}
-
 // Options configures a Mirror.
 type Options struct {
 	Feed   fgstore.Feed
@@ -75,30 +59,6 @@
 	Publish func(*fgsteer.View)
 }
 
-// entry is a stored value with its decoded form.
-type entry struct {
-	value fgstore.Value
-	// era is the era of the store in which value was read.
-	era uint64
-	// deleteAt is when a deleted entry leaves the view. It is zero unless the
-	// deletion may be a consequence of an outage.
-	deleteAt time.Time
-	// hiddenUntil is when an entry that was deleted before the store was restored is back
-	// in the view.
-	hiddenUntil time.Time
-	// At most one of the following is set, and none if the value is invalid. zone is
-	// an availability zone that is draining.
-	policy   *fgsteer.Policy
-	upstream *fgsteer.UpstreamSpec
-	member   *fgsteer.MemberSpec
-	zone     string
-}
-
-// position returns the position at which the entry was written.
-func (e *entry) position() fgstore.Position {
-	return fgstore.Position{Era: e.era, Revision: e.value.Revision}
-}
-
 // Mirror maintains a copy of the store. It is safe for concurrent use.
 type Mirror struct {
 	options Options
@@ -413,9 +373,6 @@
 	delete(m.deletions, v.Key)
 }
 
-// isLeased reports whether the entry expires when its owner does not renew it.
-func (e *entry) isLeased() bool { return e.upstream != nil || e.member != nil }
-
 // remove deletes an entry. If keep is set, as during recovery, it stays in the view until
 // its owner has had time to write it again. m.mu is held.
 func (m *Mirror) remove(key string, e *entry, keep bool) {
@@ -433,135 +390,3 @@
 	m.rememberDeletion(key, e)
 	m.options.Logger.Info("entry deleted", "key", key, "revision", e.value.Revision)
 }
-
-// decode decodes a value. A value that cannot be decoded contributes nothing to
-// the view; after an invalid policy the previous one stays in force.
-func (m *Mirror) decode(v fgstore.Value, era uint64) *entry {
-	e := &entry{value: v, era: era}
-	c := m.options.Codec
-	if zone, ok := c.DrainedZone(v.Key); ok {
-		e.zone = zone
-		m.options.Logger.Info("availability zone is draining", "availabilityZone", zone, "revision", v.Revision)
-	}
-	policy, ok, err := c.Policy(v.Key, v.Data)
-	if ok && err == nil {
-		e.policy = policy
-		if m.policy != nil && policy.Version() < m.policy.Version() {
-			m.options.Logger.Info("older policy ignored", "version", policy.Version(), "inForce", m.policy.Version(), "era", era, "revision", v.Revision)
-		}
-	}
-	m.logInvalid(v, err)
-	upstream, ok, err := c.Upstream(v.Key, v.Data, time.Now())
-	if ok && err == nil {
-		e.upstream = &upstream
-		m.options.Logger.Info("upstream registered", "upstream", upstream.ID, "group", upstream.Group, "address", upstream.Address,
-			"draining", upstream.Draining, "coldUntil", upstream.ColdUntil, "revision", v.Revision)
-	}
-	m.logInvalid(v, err)
-	member, ok, err := c.Member(v.Key, v.Data)
-	if ok && err == nil {
-		e.member = &member
-		m.options.Logger.Info("member registered", "vm", member.VM, "incarnation", member.Incarnation, "revision", v.Revision)
-	}
-	m.logInvalid(v, err)
-	return e
-}
-
-// logInvalid logs that a value cannot be decoded, if err is not nil.
-func (m *Mirror) logInvalid(v fgstore.Value, err error) {
-	if err != nil {
-		m.options.Logger.Info("entry cannot be decoded, ignoring it", "key", v.Key, "revision", v.Revision, "error", err.Error())
-	}
-}
-
-// publish builds a view of all entries and passes it to Options.Publish. m.mu is held.
-func (m *Mirror) publish() {
-	spec := fgsteer.ViewSpec{Revision: int64(m.position.Revision)}
-	now := time.Now()
-	var republishAfter time.Duration
-	for _, key := range slices.Sorted(maps.Keys(m.entries)) {
-		e := m.entries[key]
-		if !e.deleteAt.IsZero() {
-			remaining := e.deleteAt.Sub(now)
-			if remaining <= 0 {
-				delete(m.entries, key)
-				m.rememberDeletion(key, e)
-				m.options.Logger.Info("entry deleted, its owner did not register again after the outage", "key", key)
-				continue
-			}
-			republishAfter = earlier(republishAfter, remaining)
-		}
-		if remaining := e.hiddenUntil.Sub(now); remaining > 0 {
-			republishAfter = earlier(republishAfter, remaining)
-			continue
-		}
-		switch {
-		case e.policy != nil:
-			m.applyPolicy(e.policy, e.value.Revision)
-		case e.upstream != nil:
-			spec.Upstreams = append(spec.Upstreams, *e.upstream)
-		case e.member != nil:
-			spec.Members = append(spec.Members, *e.member)
-		case e.zone != "":
-			spec.Drained = append(spec.Drained, e.zone)
-		}
-	}
-	spec.Policy = m.policy
-	v := fgsteer.NewView(spec)
-	if m.options.Publish != nil {
-		m.options.Publish(v)
-	}
-	m.view.Store(v)
-	m.scheduleRepublish(republishAfter)
-}
-
-// earlier returns the shorter of two durations, of which zero is none.
-func earlier(a, b time.Duration) time.Duration {
-	if a <= 0 {
-		return b
-	}
-	return min(a, b)
-}
-
-// applyPolicy puts a policy in force unless a later version is. A store that was restored
-// holds an older one until its operator writes the latest again. m.mu is held.
-func (m *Mirror) applyPolicy(p *fgsteer.Policy, revision uint64) {
-	switch {
-	case m.policy == nil || p.Version() > m.policy.Version():
-		m.options.Logger.Info("policy applied", "version", p.Version(), "revision", revision)
-		m.logWarnings(p)
-	case p.Version() < m.policy.Version():
-		return
-	}
-	m.policy = p
-}
-
-// logWarnings logs each warning about a policy once, as operators may keep what
-// causes it in all later versions. m.mu is held.
-func (m *Mirror) logWarnings(p *fgsteer.Policy) {
-	for _, w := range p.Warnings() {
-		if m.warned[w] || len(m.warned) >= maxWarnings {
-			continue
-		}
-		if m.warned == nil {
-			m.warned = map[string]bool{}
-		}
-		m.warned[w] = true
-		m.options.Logger.Info("policy is only partly understood", "version", p.Version(), "warning", w)
-	}
-}
-
-// scheduleRepublish publishes again when the next pending change of the view is due.
-func (m *Mirror) scheduleRepublish(after time.Duration) {
-	if after <= 0 {
-		return
-	}
-	if m.republishTimer != nil {
-		m.republishTimer.Stop()
-	}
-	m.republishTimer = time.AfterFunc(after, func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.publish()
-	})
-}
