Test the sends of a request that two gateways count

A request that comes through another gateway brings the number of its sends, so that both together keep to the route's MaxAttempts; TestDetourKeepsMaxAttempts fails without it. Lines of requests name the other gateways only if there are any.

--- a/internal/fggateway/detour.go
+++ b/internal/fggateway/detour.go
@@ -166,7 +166,7 @@
 		q.mayHaveRun = true
 		return g.detourFailed(q, peer, fgaffinity.Lost, &refusal{status: http.StatusBadGateway, code: codeLost, reason: "the connection to the other gateway broke; the request may have run"}, err)
 	}
-	res := &upstreamResponse{Response: response, meta: g.dialect.ReadResponse(response.Response), peer: peer.VM, cancel: cancel}
+	res := &upstreamResponse{Response: response, meta: g.dialect.ReadResponse(response.Response), cancel: cancel}
 	res.meta.IdleTimeout = q.view.Policy().Limits().IdleTimeout
 	if refused := classifyDetour(q, res); refused != nil {
 		res.close(false)
--- a/internal/fggateway/detour_test.go
+++ b/internal/fggateway/detour_test.go
@@ -351,6 +351,34 @@
 	}
 }
 
+// Guards against more sends than the route allows because two gateways count their own.
+func TestDetourKeepsMaxAttempts(t *testing.T) {
+	tests := []struct {
+		sends string
+		want  int
+	}{{"", 2}, {"0", 2}, {"1", 1}, {"-9", 2}, {"x", 2}}
+	for _, tt := range tests {
+		t.Run("sends="+tt.sends, func(t *testing.T) {
+			env := newTestEnv(t)
+			var runs counter
+			for i := range 3 {
+				env.upstream(fmt.Sprint("u", i), func(http.ResponseWriter, *http.Request) {
+					runs.add()
+					panic(http.ErrAbortHandler)
+				})
+			}
+			g := env.gateway("vm-1", 3)
+			header := []string{"T-Id", "a"}
+			if tt.sends != "" {
+				header = append(header, detourHeader, tt.sends)
+			}
+			if res := g.mustCall(t, http.MethodGet, "/read/x", header...); res.status != http.StatusBadGateway || runs.get() != tt.want {
+				t.Errorf("got %+v after %d sends, want 502 after %d", res, runs.get(), tt.want)
+			}
+		})
+	}
+}
+
 // Guards against requests that are sent to a gateway which cannot serve them, or to a
 // region where they must not go.
 func TestDetourPeer(t *testing.T) {
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -37,8 +37,8 @@
 )
 
 // upstreamResponse is an upstream's response with the part of its body that was
-// read. complete means that this is the whole body. It came from the upstream, or from the
-// gateway peer if upstream is nil.
+// read. complete means that this is the whole body. upstream is nil if the response came
+// through another gateway.
 type upstreamResponse struct {
 	*fgpool.Response
 
@@ -46,8 +46,7 @@
 	body     []byte
 	complete bool
 	upstream *fgaffinity.Upstream
-	peer     string
-	// result is the result to record for the upstream or the peer.
+	// result is the result to record for the upstream or the other gateway.
 	result fgaffinity.Result
 	// cancel releases the context of the exchange.
 	cancel context.CancelFunc
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -258,7 +258,11 @@
 			version = p.Version()
 		}
 	}
-	g.logger.Info("request ended", "attempt", q.AttemptID, "status", status, "code", c, "reason", reason, "route", routeName,
-		"workspace", workspace, "group", q.group, "object", q.AffinityKey, "upstream", upstream, "peers", q.detours, "sends", q.sends, "ms", took.Milliseconds(),
+	logger := g.logger
+	if len(q.detours) > 0 {
+		logger = logger.WithValues("peers", q.detours)
+	}
+	logger.Info("request ended", "attempt", q.AttemptID, "status", status, "code", c, "reason", reason, "route", routeName,
+		"workspace", workspace, "group", q.group, "object", q.AffinityKey, "upstream", upstream, "sends", q.sends, "ms", took.Milliseconds(),
 		"policy", version, "revision", revision, "storeAgeMs", g.mirror.Age().Milliseconds(), "copyAgeMs", g.mirror.CopyAge().Milliseconds(), "skippedLines", skipped)
 }
