--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -175,21 +175,20 @@
 	loaded := false
 	var lastRead time.Time
 	for ctx.Err() == nil {
-		start := time.Now()
 		if !loaded {
-			lastRead = start
+			_ = fgtimer.Wait(ctx, retryDelay-time.Since(lastRead))
+			lastRead = time.Now()
 		}
+		start := time.Now()
 		err := m.step(ctx, &loaded)
 		switch {
 		case err == nil, ctx.Err() != nil:
 		case errors.Is(err, fgstore.ErrCompacted):
 			m.options.Logger.Info("platform store compacted its history, reading all entries", "revision", m.Revision())
 			loaded = false
-			_ = fgtimer.Wait(ctx, retryDelay-time.Since(lastRead))
 		case errors.Is(err, fgstore.ErrRestored):
 			m.options.Logger.Info("platform store was restored from an older copy, reading all entries", "era", m.Position().Era, "revision", m.Revision())
 			loaded = false
-			_ = fgtimer.Wait(ctx, retryDelay-time.Since(lastRead))
 		default:
 			m.RecordFailure(err)
 			m.options.Logger.Info("following the store failed", "error", err.Error(), "tookMs", time.Since(start).Milliseconds(),
