Handle SIGHUP before a gateway reads its settings

Cause: SIGHUP ends a process that has no handler, and the gateway installed one only after it had read its settings and opened its sockets. It is now the command's first step. TestHangupDuringStart, in which the settings are a pipe, ended with "signal: hangup" before.

--- a/internal/fgcommand/gateway.go
+++ b/internal/fgcommand/gateway.go
@@ -48,6 +48,10 @@
 		Example: "  filbertgap gateway --settings /etc/filbertgap/node.yaml --check",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			// SIGHUP ends a process that has not asked for it.
+			hangups := make(chan os.Signal, 1)
+			signal.Notify(hangups, syscall.SIGHUP)
+			defer signal.Stop(hangups)
 			s, err := fgadapter.ReadSettings(path)
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
@@ -59,7 +63,7 @@
 				_, err := fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
 				return err
 			}
-			return runGateway(cmd, path, s, headerBytes)
+			return runGateway(cmd, path, s, headerBytes, hangups)
 		},
 	}
 	f := cmd.Flags()
@@ -71,7 +75,7 @@
 
 // runGateway runs a gateway until the command's context ends. The log writer and
 // the settings watch run until the gateway has stopped.
-func runGateway(cmd *cobra.Command, path string, s fgadapter.Settings, headerBytes int) error {
+func runGateway(cmd *cobra.Command, path string, s fgadapter.Settings, headerBytes int, hangups <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
@@ -91,7 +95,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(cmd.Context()))
 	results := make(chan error, 2)
 	go func() { results <- w.Run(background) }()
-	go func() { results <- watchSettings(background, path, g, logger) }()
+	go func() { results <- watchSettings(background, path, g, logger, hangups) }()
 	err := g.Run(cmd.Context())
 	stop()
 	<-results
@@ -122,13 +126,10 @@
 // because the platform may change it without a signal.
 const settingsInterval = 5 * time.Second
 
-// watchSettings reloads the settings file at SIGHUP and every settingsInterval, and
-// applies its bounds to the gateway. If the file is invalid, the previous bounds
+// watchSettings reloads the settings file at each signal in hangups and every
+// settingsInterval, and applies its bounds to the gateway. If the file is invalid, the previous bounds
 // stay in use.
-func watchSettings(ctx context.Context, path string, g *fggateway.Gateway, logger logr.Logger) error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, path string, g *fggateway.Gateway, logger logr.Logger, hangups <-chan os.Signal) error {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	var last fggateway.Bounds
