--- a/internal/coordination/fgpath/tracker.go
+++ b/internal/coordination/fgpath/tracker.go
@@ -46,8 +46,10 @@
 // concurrent use.
 type Tracker struct {
 	// failing means that failed is not empty.
-	failing      atomic.Bool
-	lastResponse atomic.Int64 // Unix time in nanoseconds
+	failing atomic.Bool
+	// lastResponse is when an upstream last responded. It holds a monotonic time, which steps
+	// of the VM's clock do not change.
+	lastResponse atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// failed holds when a connection to each upstream last failed, since one was opened.
@@ -86,7 +88,10 @@
 }
 
 // RecordResponse records that an upstream has responded.
-func (t *Tracker) RecordResponse() { t.lastResponse.Store(time.Now().UnixNano()) }
+func (t *Tracker) RecordResponse() {
+	now := time.Now()
+	t.lastResponse.Store(&now)
+}
 
 // Status returns the state of the path.
 func (t *Tracker) Status() Status {
@@ -102,10 +107,11 @@
 		}
 	}
 	t.failing.Store(len(t.failed) > 0)
+	last := t.lastResponse.Load()
 	switch {
 	case len(t.failed) < max(1, min(minFailed, t.upstreams)):
 		return Open
-	case now.UnixNano()-t.lastResponse.Load() < int64(silenceTimeout):
+	case last != nil && now.Sub(*last) < silenceTimeout:
 		return NoNewConnections
 	default:
 		return Lost
