Read the fourth load figure, and the leave and pause of upstreams

Cause: parseLoad dropped a load report with four figures as invalid, so that the gateways knew no load of upstreams that tell how long work takes on their machine. Change: the first three figures are read whatever follows, the fourth is Load.Slowdown; Response.Leaving and Response.Pause hold what upstreams say of their stop and of an overload. Criteria.Accept and Estimate are the interface between the choice of an upstream and admission; without Accept nothing changes there.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -200,8 +200,12 @@
 	// Exclude lists the upstreams that the request was already sent to.
 	Exclude []*Upstream
 	// MaxLoadPerSlot is the load per slot at which an upstream takes no more
-	// requests.
+	// requests. It applies if Accept is nil.
 	MaxLoadPerSlot float64
+	// Accept decides whether the request may go to an upstream, by what the balancer
+	// expects there. It is called for the candidates in the order of preference, without
+	// a lock held.
+	Accept func(*Upstream, Estimate) bool
 }
 
 // candidate is an upstream with its score for one request; a higher one is better.
@@ -253,7 +257,7 @@
 	}
 	for _, ranked := range best.ranked[:best.count] {
 		u := ranked.upstream
-		if u.loadPerSlot(now) >= c.MaxLoadPerSlot || u.isCold(wall, now) && (wall.Sub(b.started) < coldSendDelay || !u.reserveColdSend(wall, b.coldQuota(s, g, u))) ||
+		if !c.accepts(u, g, now) || u.isCold(wall, now) && (wall.Sub(b.started) < coldSendDelay || !u.reserveColdSend(wall, b.coldQuota(s, g, u))) ||
 			u.limit.set.Load() && !b.reserveLimitedSend(s, u, wall) {
 			continue
 		}
--- a/internal/protocol/fgmessage/message.go
+++ b/internal/protocol/fgmessage/message.go
@@ -39,6 +39,9 @@
 // and how many it can run at a time.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how many times as long as usual work takes on the upstream's machine at
+	// the moment, because other programs use it too. Zero means that it is not known.
+	Slowdown float64
 }
 
 // Response holds the data in the header of an upstream's response.
@@ -61,6 +64,11 @@
 	// ColdDuration is how long the upstream will still be cold. Zero means that it
 	// sent none.
 	ColdDuration time.Duration
+	// Leaving means that the upstream is about to stop.
+	Leaving bool
+	// Pause is how long the upstream, which refused the request, wants no further requests
+	// from this VM. Zero means that it sent none.
+	Pause time.Duration
 	// IdleTimeout is the connection's idle timeout. Zero means that the upstream
 	// sent none.
 	IdleTimeout time.Duration
