Choose upstreams by expected time, from loads shared in the zone

Cause: the choice knew only the load from this gateway's own responses, and neither run times, nor the slowdown that upstreams tell, nor the way there. Change: gateways tell those of their availability zone the loads that upstreams reported to them, at most 40 in a state and the newest first. An estimate holds the wait, the run by warm and cold, and the network. Where upstreams tell a slowdown, a key leaves its first candidate only for one that is better by the margin or that is in time while the first is late, a third candidate is used when two are full, and requests without a key go by expected time, in the own zone first. Elsewhere the choice is the same as before. Upstreams are ranked by comparing hashes within a region, so that few scores are computed.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -1,8 +1,6 @@
 package fgaffinity
 
 import (
-	"math"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,10 +12,6 @@
 )
 
 const (
-	// maxCandidates is how many upstreams Choose considers for a request: the highest
-	// ranked ones for its affinity key, or the least loaded ones if it has none. More
-	// candidates would mean more cold runs, which overload the group under high load.
-	maxCandidates = 2
 	// sameRegionFactor scales the extra weight of upstreams in the VM's own region:
 	// it is multiplied by the round-trip time to another region as a fraction of the
 	// latency objective. A key has callers in one region only, so keeping it there
@@ -53,10 +47,11 @@
 	ErrFull = merry.Sentinel("the upstreams for the request are at their load limit")
 )
 
-// Options name the VM that a Balancer runs on and its region.
+// Options name the VM that a Balancer runs on, and where it is.
 type Options struct {
-	Region string
-	VM     string
+	Region           string
+	AvailabilityZone string
+	VM               string
 }
 
 // coldBounds bound the requests per second from all VMs to a cold upstream: the
@@ -68,10 +63,25 @@
 
 // group is an upstream group in one view.
 type group struct {
-	spec          fgsteer.GroupSpec
-	upstreams     []*Upstream
-	meanResponse  *meanResponseTime
-	regionWeights *regionWeights
+	*groupStats
+
+	spec      fgsteer.GroupSpec
+	upstreams []*Upstream
+	// classes and nearby hold the upstreams by what ranks them for a key, and by their
+	// proximity.
+	classes []rankClass
+	nearby  [proximities][]*Upstream
+}
+
+// groupStats is what was measured of a group. It is kept when the view changes.
+type groupStats struct {
+	meanResponse  meanResponseTime
+	regionWeights regionWeights
+	runs          runTimes
+	// slowdownTold is when an upstream last told a slowdown, and meanSlowdown the average
+	// of the slowdowns told.
+	slowdownTold atomic.Int64
+	meanSlowdown average
 }
 
 // state is the immutable snapshot that Choose reads.
@@ -81,6 +91,9 @@
 	// instances holds the upstreams of all groups by the hash of their instanceID, by
 	// which other VMs report on them.
 	instances map[uint64]*Upstream
+	// reporters holds them by the lower half of that hash, by which loads are reported.
+	// Upstreams that share it are left out.
+	reporters map[uint32]*Upstream
 	// members are the VMs that may send requests to upstreams.
 	members []member
 }
@@ -108,17 +121,13 @@
 	upstreams map[string]*Upstream
 	// members are the VMs that were in a view within memberRetention.
 	members map[string]member
-	// meanResponse and regionWeights are indexed by group and are kept when the view
-	// changes.
-	meanResponse  map[string]*meanResponseTime
-	regionWeights map[string]*regionWeights
+	stats   map[string]*groupStats
 }
 
 // New returns a balancer without upstreams.
 func New(o Options) *Balancer {
 	now := time.Now()
-	b := &Balancer{options: o, epoch: now.Add(-time.Hour), started: now, upstreams: map[string]*Upstream{}, members: map[string]member{},
-		meanResponse: map[string]*meanResponseTime{}, regionWeights: map[string]*regionWeights{}}
+	b := &Balancer{options: o, epoch: now.Add(-time.Hour), started: now, upstreams: map[string]*Upstream{}, members: map[string]member{}, stats: map[string]*groupStats{}}
 	b.state.Store(&state{})
 	b.bounds.Store(&coldBounds{})
 	return b
@@ -135,7 +144,7 @@
 func (b *Balancer) Update(v *fgsteer.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := &state{view: v, groups: map[string]*group{}, instances: map[uint64]*Upstream{}}
+	s := &state{view: v, groups: map[string]*group{}, instances: map[uint64]*Upstream{}, reporters: map[uint32]*Upstream{}}
 	now := time.Now()
 	for _, m := range v.Members() {
 		b.members[m.VM] = member{vm: m.VM, region: m.Region, registered: now}
@@ -151,11 +160,10 @@
 	}
 	known := make(map[string]*Upstream, len(b.upstreams))
 	for name, snapshots := range v.Groups() {
-		if b.meanResponse[name] == nil {
-			b.meanResponse[name] = &meanResponseTime{}
-			b.regionWeights[name] = &regionWeights{}
+		if b.stats[name] == nil {
+			b.stats[name] = &groupStats{}
 		}
-		g := &group{meanResponse: b.meanResponse[name], regionWeights: b.regionWeights[name]}
+		g := &group{groupStats: b.stats[name]}
 		g.regionWeights.resetSlots()
 		if p := v.Policy(); p != nil {
 			if spec, ok := p.Group(name); ok {
@@ -172,8 +180,13 @@
 			u.spec.Store(spec)
 			known[id] = u
 			u.region.Store(g.regionWeights.addUpstream(spec.Region, spec.Slots))
-			g.upstreams = append(g.upstreams, u)
+			g.addUpstream(u, b.options)
 			s.instances[u.instance] = u
+			if _, shared := s.reporters[uint32(u.instance)]; shared {
+				s.reporters[uint32(u.instance)] = nil
+			} else {
+				s.reporters[uint32(u.instance)] = u
+			}
 		}
 		s.groups[name] = g
 	}
@@ -208,97 +221,73 @@
 	Accept func(*Upstream, Estimate) bool
 }
 
-// candidate is an upstream with its score for one request; a higher one is better.
-type candidate struct {
-	upstream *Upstream
-	score    float64
+// Placement is the upstream for a request and what is expected there.
+type Placement struct {
+	Upstream *Upstream
+	Expected Estimate
+	// other means that the upstream is not the first candidate.
+	other bool
 }
 
-// candidates are the upstreams with the highest scores for a request, in
-// descending order.
-type candidates struct {
-	ranked [maxCandidates]candidate
-	count  int
-	// limited means that an upstream was left out because of the limit that it names.
-	limited bool
-}
-
-// add inserts an upstream if it is among the best.
-func (c *candidates) add(u *Upstream, score float64) {
-	i := c.count
-	for i > 0 && c.ranked[i-1].score < score {
-		i--
-	}
-	if i == len(c.ranked) {
-		return
-	}
-	c.count = min(c.count+1, len(c.ranked))
-	copy(c.ranked[i+1:c.count], c.ranked[i:])
-	c.ranked[i] = candidate{upstream: u, score: score}
-}
+// Preferred reports whether the upstream is the first candidate for the request.
+func (p Placement) Preferred() bool { return !p.other }
 
 // Choose returns the upstream for a request and counts the request as in flight
 // there. Done must be called once with its result.
 func (b *Balancer) Choose(c Criteria) (*Upstream, error) {
+	p, err := b.Place(c)
+	return p.Upstream, err
+}
+
+// Place is Choose, and also returns what is expected at the upstream.
+func (b *Balancer) Place(c Criteria) (Placement, error) {
 	s := b.state.Load()
 	g := s.groups[c.Group]
 	if g == nil {
-		return nil, ErrNoUpstream
+		return Placement{}, ErrNoUpstream
 	}
 	wall := time.Now()
 	now := int64(wall.Sub(b.epoch))
-	// Failing and unreachable upstreams are candidates only if there is no other.
-	best := b.rank(s, g, c, wall, true)
-	if best.count == 0 {
-		best = b.rank(s, g, c, wall, false)
-	}
+	key, timed := keyHash(c.AffinityKey), g.tellsSlowdown(now)
+	best := b.rank(s, g, c, key, timed, wall)
 	if best.count == 0 && !best.limited {
-		return nil, ErrNoUpstream
+		return Placement{}, ErrNoUpstream
 	}
-	for _, ranked := range best.ranked[:best.count] {
+	var expected [maxTimedCandidates]Estimate
+	for i, ranked := range best.ranked[:best.count] {
+		expected[i] = b.estimate(g, ranked.upstream, b.classOf(c, ranked.upstream, key, i == 0, wall), wall)
+	}
+	preferred := best.ranked[0].upstream
+	if timed && c.AffinityKey != "" {
+		preferFaster(&best, &expected, c.Objective)
+	}
+	for i, ranked := range best.ranked[:best.count] {
 		u := ranked.upstream
-		if !c.accepts(u, g, now) || u.isCold(wall, now) && (wall.Sub(b.started) < coldSendDelay || !u.reserveColdSend(wall, b.coldQuota(s, g, u))) ||
+		if i == maxCandidates && (expected[0].LoadPerSlot < 1 || expected[1].LoadPerSlot < 1) {
+			break
+		}
+		if !c.accepts(u, expected[i]) || u.isCold(wall, now) && (wall.Sub(b.started) < coldSendDelay || !u.reserveColdSend(wall, b.coldQuota(s, g, u))) ||
 			u.limit.set.Load() && !b.reserveLimitedSend(s, u, wall) {
 			continue
 		}
 		u.inFlight.Add(1)
-		return u, nil
+		u.recordSend(now)
+		if c.AffinityKey != "" {
+			u.keys.add(key, now)
+		}
+		return Placement{Upstream: u, Expected: expected[i], other: u != preferred}, nil
 	}
-	return nil, ErrFull
+	return Placement{}, ErrFull
 }
 
-// rank returns the upstreams that a request may be sent to. With an affinity key
-// they are ranked by rendezvous hashing: all VMs of a region compute the same
-// ranking, and adding or removing an upstream moves only that upstream's keys.
-// Without a key they are ranked by load.
-func (b *Balancer) rank(s *state, g *group, c Criteria, wall time.Time, skipAvoided bool) candidates {
-	var best candidates
-	now := int64(wall.Sub(b.epoch))
-	keyHash, sameRegionWeight := xxhash.Sum64String(c.AffinityKey), b.sameRegionWeight(c.Objective)
-	for _, u := range g.upstreams {
-		spec := u.Spec()
-		if spec.Draining || s.view.Drained(spec.AvailabilityZone) || skipAvoided && u.avoided(now) ||
-			len(c.Regions) > 0 && !slices.Contains(c.Regions, spec.Region) || slices.Contains(c.Exclude, u) {
-			continue
-		}
-		if u.limit.set.Load() && !b.withinLimit(s, u, wall) {
-			best.limited = true
-			continue
-		}
-		if c.AffinityKey == "" {
-			best.add(u, -u.loadPerSlot(now))
-			continue
-		}
-		score := rendezvousScore(keyHash, u.hash, spec.Slots)
-		if len(c.Regions) == 0 {
-			score *= u.region.Load().weight()
-		}
-		if spec.Region == b.options.Region {
-			score *= sameRegionWeight
-		}
-		best.add(u, score)
+// preferFaster puts the second candidate of a key first if its expected time is better by
+// more than the margin.
+func preferFaster(c *candidates, expected *[maxTimedCandidates]Estimate, objective time.Duration) {
+	if c.count < 2 || !expected[1].worthMoving(expected[0], objective) {
+		return
 	}
-	return best
+	c.ranked[0], c.ranked[1] = c.ranked[1], c.ranked[0]
+	expected[0], expected[1] = expected[1], expected[0]
 }
 
 // sameRegionWeight returns the weight of upstreams in the VM's own region.
@@ -312,24 +301,6 @@
 // SetRegionRTT sets the round-trip time to another region.
 func (b *Balancer) SetRegionRTT(d time.Duration) { b.rtt.Store(int64(d.Round(rttRounding))) }
 
-// rendezvousScore returns an upstream's score for a key in weighted rendezvous
-// hashing, with slots as the weight.
-func rendezvousScore(key, upstream uint64, slots int) float64 {
-	h := fmix64(key ^ upstream)
-	// 53 bits of the hash as a number between 0 and 1, both excluded.
-	unit := (float64(h>>11) + 0.5) / (1 << 53)
-	return -float64(slots) / math.Log(unit)
-}
-
-// fmix64 is the finalizer of MurmurHash3, which mixes the bits of a hash.
-func fmix64(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
-
 // coldQuota returns how many requests this VM may send to a cold upstream in
 // coldWindow. The bound covers all VMs, so it is divided between them. If it is
 // smaller than their number, the VMs with the lowest hashes may send one each.
@@ -363,14 +334,3 @@
 func (b *Balancer) RecordCold(u *Upstream, d time.Duration) {
 	u.coldUntil.Store(int64(time.Since(b.epoch) + d))
 }
-
-// RecordLoad records the number of requests that an upstream has reported to have.
-// Only such reports count towards the load of its region: a missing response may
-// have been lost and does not show that the upstream is overloaded.
-func (b *Balancer) RecordLoad(u *Upstream, total int) {
-	now := int64(time.Since(b.epoch))
-	u.recordLoad(total, now)
-	if g := b.state.Load().groups[u.Spec().Group]; g != nil {
-		g.regionWeights.add(u.region.Load(), float64(total)/float64(u.Spec().Slots), now)
-	}
-}
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -87,6 +87,13 @@
 	// otherLoad is the number of requests of other VMs at the time loadObserved.
 	otherLoad    atomic.Int64
 	loadObserved atomic.Int64
+	// reported is when the load was last reported, and not assumed.
+	reported atomic.Int64
+	slowdown toldSlowdown
+	keys     keyMemory
+	// sends is a ring of the times of the latest sends, and sendCount their number.
+	sends     [recentSends]atomic.Int64
+	sendCount atomic.Uint32
 
 	// avoidUntil is the time until which the upstream is chosen only if no other is
 	// available.
@@ -104,6 +111,7 @@
 	overdueCount int
 	slowBackoff  time.Duration
 	coldSends    []time.Time
+	own          ownReport
 }
 
 // vmHash orders VMs for what cannot be divided equally between them. The order differs
@@ -125,13 +133,6 @@
 // loadPerSlot returns the estimated load divided by the upstream's slots.
 func (u *Upstream) loadPerSlot(now int64) float64 { return u.load(now) / float64(u.Spec().Slots) }
 
-// recordLoad records the load that the upstream reported, which includes the
-// requests of this VM.
-func (u *Upstream) recordLoad(total int, now int64) {
-	u.otherLoad.Store(max(0, int64(total)-u.inFlight.Load()))
-	u.loadObserved.Store(now)
-}
-
 // recordResult updates the failure rate and the backoff with the result of a
 // request.
 func (u *Upstream) recordResult(r Result, now int64) {
@@ -144,7 +145,8 @@
 	case Left:
 		return
 	case Silent:
-		u.recordLoad(silentLoadPerSlot*u.Spec().Slots, now)
+		u.otherLoad.Store(max(0, int64(silentLoadPerSlot*u.Spec().Slots)-u.inFlight.Load()))
+		u.loadObserved.Store(now)
 		return
 	case Unreached, Replaced:
 		u.backOff(now)
--- a/internal/fggateway/detour.go
+++ b/internal/fggateway/detour.go
@@ -57,14 +57,17 @@
 		return detour{peer}, nil
 	}
 	u := reserved
+	q.expected = fgaffinity.Estimate{}
 	if u == nil {
-		var err error
-		if u, err = g.balancer.Choose(q.criteria()); err != nil {
+		p, err := g.balancer.Place(q.criteria())
+		if err != nil {
 			if hasPeer {
 				return detour{peer}, nil
 			}
 			return nil, err
 		}
+		u, q.expected = p.Upstream, p.Expected
+		g.metrics.Placed(q.group, p.Preferred())
 	}
 	if hasPeer && !g.pool.HasIdle(upstreamTarget(u.Spec())) {
 		g.release(q, u)
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -109,7 +109,7 @@
 	state.Crashes = g.crashReports()
 	state.Limits = g.limitReports()
 	p := g.updatePlan()
-	g.sendToPeers("state", s, state, p.peers)
+	g.sendOwnState(s, state, p)
 	g.queueForRelay(state)
 }
 
@@ -123,6 +123,9 @@
 	g.limiter.ApplyReport(s.GetVm(), s.GetIncarnation(), s.GetSequence(), uses)
 	g.applyCrashReports(s.GetCrashes())
 	g.applyLimitReports(s.GetVm(), s.GetLimits())
+	g.applyLoadReports(s.GetLoads())
+	// A state that is passed on to other zones has no loads.
+	s.Loads = nil
 	now := time.Now()
 	position := fgstore.Position{Era: s.GetStoreEra(), Revision: s.GetStoreRevision()}
 	g.mirror.RecordResponse(now.Add(-time.Duration(s.GetStoreAgeMs()) * time.Millisecond))
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -211,8 +211,9 @@
 		g.balancer.RecordInTime(u, time.Since(start))
 	}
 	q.sends++
-	if meta.HasLoad {
-		g.balancer.RecordLoad(u, meta.Load.Running+meta.Load.Waiting)
+	g.recordLoad(u, response.StatusCode, meta)
+	if !meta.NotRun && response.StatusCode < http.StatusInternalServerError {
+		g.balancer.RecordRun(u, q.expected, time.Since(start), meta.Load.Slowdown)
 	}
 	if meta.ColdDuration > 0 {
 		g.balancer.RecordCold(u, meta.ColdDuration)
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -172,7 +172,7 @@
 		logSamplers: newLogSamplers(),
 		limiter:     fgquota.New(),
 		balancer: fgaffinity.New(fgaffinity.Options{
-			Region: o.Settings.Self.Region, VM: o.Settings.Self.VM,
+			Region: o.Settings.Self.Region, AvailabilityZone: o.Settings.Self.AvailabilityZone, VM: o.Settings.Self.VM,
 		}),
 	}
 	g.bodies.limit = o.Settings.MemoryBytes / bodyMemoryDivisor
--- a/internal/fggateway/relay.go
+++ b/internal/fggateway/relay.go
@@ -64,9 +64,9 @@
 // exchangePlan is a layout with the addresses that it names.
 type exchangePlan struct {
 	layout fgrelay.Layout
-	// peers get the own state, zone and region what is passed on: region has the own
-	// zone and the distributors of the other ones.
-	peers, zone, region receivers
+	// peers get the own state; ownZone and otherZones are its parts. zone and region get
+	// what is passed on: region has the own zone and the distributors of the other ones.
+	peers, ownZone, otherZones, zone, region receivers
 }
 
 // updatePlan recomputes the receivers of states from the current view.
@@ -80,8 +80,16 @@
 }
 
 func (g *Gateway) newPlan(l fgrelay.Layout) *exchangePlan {
+	var ownZone, otherZones []fgsteer.MemberSpec
+	for _, m := range l.Peers() {
+		if m.Region == g.settings.Self.Region && m.AvailabilityZone == g.settings.Self.AvailabilityZone {
+			ownZone = append(ownZone, m)
+		} else {
+			otherZones = append(otherZones, m)
+		}
+	}
 	return &exchangePlan{
-		layout: l, peers: g.newReceivers(l.Peers()), zone: g.newReceivers(l.Zone()),
+		layout: l, peers: g.newReceivers(l.Peers()), ownZone: g.newReceivers(ownZone), otherZones: g.newReceivers(otherZones), zone: g.newReceivers(l.Zone()),
 		region: g.newReceivers(slices.Concat(l.Zone(), l.Distributors())),
 	}
 }
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -17,6 +17,8 @@
 	sends    *prometheus.CounterVec
 	peers    *prometheus.CounterVec
 	detours  *prometheus.CounterVec
+	loads    *prometheus.CounterVec
+	placed   *prometheus.CounterVec
 }
 
 // GatewayCallbacks holds functions that return the current values of metrics. They
@@ -51,8 +53,12 @@
 			Help: "Bytes sent to other gateways by kind and by how far they travel: zone, region, remote."}, []string{"kind", "reach"}),
 		detours: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_detours_total",
 			Help: "Requests sent through other gateways by how they ended."}, []string{"result"}),
+		loads: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_load_reports_total",
+			Help: "Loads of upstreams told to and by gateways of the zone: out, or in and newer than what was known."}, []string{"direction"}),
+		placed: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_placements_total",
+			Help: "Upstreams chosen by group: the first candidate for the request, or another one."}, []string{"group", "candidate"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours,
+	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.loads, m.placed,
 		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return c.StoreAge().Seconds() }),
 		gauge("gateway_store_copy_age_seconds", "Time since the copy of the store was last known to hold all changes.", func() float64 { return c.StoreCopyAge().Seconds() }),
 		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(c.StoreRevision()) }),
@@ -99,5 +105,21 @@
 // SendEnded records a send of a request to an upstream of a group.
 func (m *Gateway) SendEnded(group, result string) { m.sends.WithLabelValues(group, result).Inc() }
 
+// Placed records that an upstream was chosen for a request. preferred means that it is the
+// first candidate.
+func (m *Gateway) Placed(group string, preferred bool) {
+	candidate := "other"
+	if preferred {
+		candidate = "preferred"
+	}
+	m.placed.WithLabelValues(group, candidate).Inc()
+}
+
+// LoadReports records loads of upstreams that were told to other gateways ("out") or
+// taken over from them ("in").
+func (m *Gateway) LoadReports(direction string, n int) {
+	m.loads.WithLabelValues(direction).Add(float64(n))
+}
+
 // DetourEnded records a request that was sent through another gateway.
 func (m *Gateway) DetourEnded(result string) { m.detours.WithLabelValues(result).Inc() }
