Keep keys in place in loaded regions, and simulate uneven zones

Cause: with more keys than upstreams remember, moves to faster upstreams made more runs cold. Requests without a key went to upstreams whose reports had decayed, from many gateways at once. Change: in a region with more than 0.6 requests per slot a key moves only for more than a whole run, and not to a cold third candidate. For requests without a key an old report counts as the mean of its region. The simulation has uneven zones, machines that are slow for 0.6 s, shared loads and a wave of the load.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -263,7 +263,7 @@
 	}
 	for i, ranked := range best.ranked[:best.count] {
 		u := ranked.upstream
-		if i == maxCandidates && (expected[0].LoadPerSlot < 1 || expected[1].LoadPerSlot < 1) {
+		if i == maxCandidates && (u.pressed() && expected[i].class == coldRun || expected[0].LoadPerSlot < 1 || expected[1].LoadPerSlot < 1) {
 			break
 		}
 		if !c.accepts(u, expected[i]) || u.isCold(wall, now) && (wall.Sub(b.started) < coldSendDelay || !u.reserveColdSend(wall, b.coldQuota(s, g, u))) ||
@@ -283,7 +283,7 @@
 // preferFaster puts the second candidate of a key first if its expected time is better by
 // more than the margin.
 func preferFaster(c *candidates, expected *[maxTimedCandidates]Estimate, objective time.Duration) {
-	if c.count < 2 || !expected[1].worthMoving(expected[0], objective) {
+	if c.count < 2 || !expected[1].worthMoving(expected[0], objective, c.ranked[1].upstream.pressed()) {
 		return
 	}
 	c.ranked[0], c.ranked[1] = c.ranked[1], c.ranked[0]
--- a/internal/coordination/fgaffinity/estimate.go
+++ b/internal/coordination/fgaffinity/estimate.go
@@ -13,6 +13,12 @@
 	// a key, apart from what a cold run costs. It keeps keys in place while the estimates
 	// of two candidates are about equal.
 	moveMargin = 0.2
+	// pressedMoveMargin applies in a region whose mean load per slot is above pressedLoad.
+	// There, each key that runs at another upstream too takes the place of one that the
+	// upstream remembers: with 3,000 keys on 80 upstreams, the simulated part of requests
+	// in time was 0.13 with moves at moveMargin and 0.30 without.
+	pressedMoveMargin = 1.0
+	pressedLoad       = 0.6
 )
 
 // Estimate is what the balancer expects of one request at one upstream.
@@ -39,10 +45,14 @@
 
 // worthMoving reports whether a key's request is better sent to another candidate, for which
 // e is expected, than to the preferred one. A cold run takes capacity of other requests, so
-// the time that it takes longer than a warm one must be gained once more. But a request
-// that would be late goes where it is in time.
-func (e Estimate) worthMoving(preferred Estimate, objective time.Duration) bool {
-	if objective > 0 && preferred.Total() > objective && e.Total() <= objective && e.LoadPerSlot < 1 {
+// the time that it takes longer than a warm one must be gained once more. pressed means that
+// the other candidate's region is loaded. If it is not, a request that would be late goes
+// where it is in time.
+func (e Estimate) worthMoving(preferred Estimate, objective time.Duration, pressed bool) bool {
+	moveMargin := moveMargin
+	if pressed {
+		moveMargin = pressedMoveMargin
+	} else if objective > 0 && preferred.Total() > objective && e.Total() <= objective && e.LoadPerSlot < 1 {
 		return true
 	}
 	margin := time.Duration(moveMargin*float64(preferred.Run)) + max(0, e.Run-preferred.Run)
@@ -56,6 +66,11 @@
 	spec := u.Spec()
 	slots := float64(spec.Slots)
 	load := u.load(now)
+	if class == keylessRun {
+		// Otherwise an upstream that nobody has heard of for long would seem idle, and
+		// many VMs would send to it at once. A key stays where it is known to be warm.
+		load += u.unknownLoad(now)
+	}
 	e := Estimate{LoadPerSlot: load / slots, Network: b.network(u), class: class, measured: true}
 	if reported := u.reported.Load(); reported != 0 {
 		e.Known = now-reported < int64(knownTime)
--- a/internal/coordination/fgaffinity/load_test.go
+++ b/internal/coordination/fgaffinity/load_test.go
@@ -13,50 +13,143 @@
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 )
 
-// The simulated deployment has a region with few upstreams and as many callers as
-// the others. It can serve the load only while most keys are cached.
 const (
-	simVMs       = 24
-	simRate      = 1200
-	simKeys      = 900
-	simSlots     = 6
-	simQueue     = 18
-	simCacheSize = 29
-	simColdTime  = 800 * time.Millisecond
-	simWarmTime  = 240 * time.Millisecond
 	simRTT       = 110 * time.Millisecond
 	simObjective = 600 * time.Millisecond
-	simTimeout   = 1500 * time.Millisecond
 )
 
-var simRegions = []struct {
-	name      string
-	upstreams int
-}{{"small", 10}, {"middle", 44}, {"large", 50}}
+// simZone is an availability zone of a simulated deployment.
+type simZone struct {
+	region, name string
+	upstreams    int
+}
+
+// simDeployment is a simulated deployment. Each of its zones has the same number of
+// callers, whose requests have keys of their region.
+type simDeployment struct {
+	zones              []simZone
+	vms, keys          int
+	rate               float64
+	slots, queue       int
+	cacheSize          int
+	coldTime, warmTime time.Duration
+	rtt                time.Duration
+	objective, timeout time.Duration
+	// boundFraction of the requests may run in the first region only.
+	boundFraction float64
+	// slowdown is the factor for all run times. Nil means 1.
+	slowdown func(time.Duration) float64
+	// wave is the relative change of each region's rate over wavePeriod, with a phase of
+	// its own.
+	wave       float64
+	wavePeriod time.Duration
+	// slowMachines is the part of the machines that take slowFactor times as long. Others
+	// become slow every slowInterval.
+	slowMachines, slowFactor float64
+	slowInterval             time.Duration
+	// silentMachines means that upstreams do not tell a slowdown.
+	silentMachines bool
+	// keyless requests have no affinity key.
+	keyless bool
+	// stateInterval is how often gateways share loads. Zero means never.
+	stateInterval time.Duration
+	// hot replaces part of the requests between its times.
+	hot hotWorkspace
+	// beforeRequest is called before each request. It may be nil.
+	beforeRequest func(fleet []*Balancer, v *fgsteer.View, elapsed time.Duration)
+	seed          uint64
+}
+
+// hotWorkspace sends a part of the requests of one region, with few keys.
+type hotWorkspace struct {
+	from, until time.Duration
+	region      string
+	fraction    float64
+	keys        int
+	// bound means that the requests may run in that region only.
+	bound bool
+}
+
+// smallRegionDeployment has a region with few upstreams and as many callers as the
+// others. It can serve the load only while most keys are cached.
+func smallRegionDeployment() simDeployment {
+	return simDeployment{
+		zones: []simZone{{"small", "small-a", 10}, {"middle", "middle-a", 44}, {"large", "large-a", 50}},
+		vms:   24, keys: 900, rate: 1200, slots: 6, queue: 18, cacheSize: 29,
+		coldTime: 800 * time.Millisecond, warmTime: 240 * time.Millisecond,
+		rtt: simRTT, objective: simObjective, timeout: 1500 * time.Millisecond, seed: 1,
+	}
+}
+
+// unevenDeployment has two zones in each of three regions, with 4, 16 and 20 upstreams and
+// as many callers each. Some machines are slow, others every 0.6 s.
+func unevenDeployment() simDeployment {
+	return simDeployment{
+		zones: []simZone{{"small", "small-a", 4}, {"middle", "middle-a", 16}, {"large", "large-a", 20}, {"small", "small-b", 4}, {"middle", "middle-b", 16}, {"large", "large-b", 20}},
+		vms:   24, keys: 600, rate: 839, slots: 3, queue: 10, cacheSize: 24,
+		coldTime: 360 * time.Millisecond, warmTime: 108 * time.Millisecond,
+		rtt: simRTT, objective: 400 * time.Millisecond, timeout: 2 * time.Second,
+		wave: 0.55, wavePeriod: 36 * time.Second, slowMachines: 0.15, slowFactor: 2.5, slowInterval: 600 * time.Millisecond,
+		stateInterval: 500 * time.Millisecond, seed: 1,
+	}
+}
+
+// regions returns the names of the regions.
+func (d *simDeployment) regions() []string {
+	var names []string
+	for _, z := range d.zones {
+		if !slices.Contains(names, z.region) {
+			names = append(names, z.region)
+		}
+	}
+	return names
+}
 
 // simUpstream simulates an upstream with an LRU cache of keys. A cached key runs in
 // less than a third of the time.
 type simUpstream struct {
-	slots chan struct{}
+	deployment *simDeployment
+	index      int
+	slots      chan struct{}
 
 	mu       sync.Mutex
 	inFlight int
 	cached   []string
+	runs     int
+}
+
+// machine returns how many times as long as usual work takes on the upstream's machine.
+func (u *simUpstream) machine(elapsed time.Duration) float64 {
+	d := u.deployment
+	if d.slowMachines == 0 {
+		return 1
+	}
+	h := fmix64(uint64(u.index)<<32 ^ uint64(elapsed/d.slowInterval) ^ d.seed<<48)
+	if float64(h>>11)/(1<<53) < d.slowMachines {
+		return d.slowFactor
+	}
+	return 1
 }
 
-// serve runs a request unless it times out first. It returns the load that the
-// upstream reports and the result.
-func (u *simUpstream) serve(key string, slowdown float64, timeout time.Duration) (load int, r Result) {
+// serve runs a request unless it times out first. It returns what the upstream reports and
+// the result.
+func (u *simUpstream) serve(key string, slowdown float64, timeout time.Duration, begin time.Time) (report Report, r Result) {
+	d := u.deployment
+	defer func() {
+		if d.slowMachines > 0 && !d.silentMachines {
+			report.Slowdown = u.machine(time.Since(begin))
+		}
+	}()
 	u.mu.Lock()
-	if u.inFlight >= simSlots+simQueue {
+	if u.inFlight >= d.slots+d.queue {
 		u.mu.Unlock()
-		return simSlots + simQueue, Shed
+		return Report{Load: d.slots + d.queue, Refused: true, Failed: true}, Shed
 	}
 	u.inFlight++
 	u.mu.Unlock()
 	defer func() {
 		u.mu.Lock()
-		load = u.inFlight
+		report.Load = u.inFlight
 		u.inFlight--
 		u.mu.Unlock()
 	}()
@@ -65,18 +158,18 @@
 	select {
 	case u.slots <- struct{}{}:
 	case <-timer.C:
-		return 0, Silent
+		return report, Silent
 	}
 	defer func() { <-u.slots }()
 	runTime := u.touch(key, false)
-	runTime = time.Duration(slowdown * float64(runTime))
+	runTime = time.Duration(slowdown * u.machine(time.Since(begin)) * float64(runTime))
 	if remaining := timeout - time.Since(start); runTime > remaining {
 		time.Sleep(remaining)
-		return 0, Silent
+		return report, Silent
 	}
 	time.Sleep(runTime)
 	u.touch(key, true)
-	return 0, Answered
+	return report, Answered
 }
 
 // touch returns the run time of a key. If it ran, touch makes it the most recently
@@ -84,93 +177,203 @@
 func (u *simUpstream) touch(key string, ran bool) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	runTime := simColdTime
+	runTime := u.deployment.coldTime
 	index := slices.Index(u.cached, key)
 	if index >= 0 {
-		runTime = simWarmTime
+		runTime = u.deployment.warmTime
 	}
 	if ran {
+		u.runs++
 		if index >= 0 {
 			u.cached = slices.Delete(u.cached, index, index+1)
 		}
 		u.cached = append(u.cached, key)
-		u.cached = u.cached[max(0, len(u.cached)-simCacheSize):]
+		u.cached = u.cached[max(0, len(u.cached)-u.deployment.cacheSize):]
 	}
 	return runTime
 }
 
 // simResult counts requests by their results.
-type simResult struct{ sent, inTime, late, silent, refused int }
+type simResult struct {
+	sent, inTime, late, silent, refused int
+	// shed counts those that an upstream refused, and otherZone those that ran in another
+	// zone of the region.
+	shed, otherZone int
+	// busiest is the load of the busiest upstream relative to the mean.
+	busiest float64
+	// shift is the largest part of a region's requests that changed the region where they
+	// ran from one window of 2 s to the next, without those of the hot workspace. shiftAt
+	// is when that window began.
+	shift   float64
+	shiftAt time.Duration
+}
 
 func (r simResult) fraction(n int) float64 { return float64(n) / float64(max(1, r.sent)) }
 
+// simShifts counts where the requests of each region ran, by windows.
+type simShifts map[string]map[int]map[string]float64
+
+const shiftWindow = 2 * time.Second
+
+func (s simShifts) add(from, to string, at time.Duration) {
+	window := int(at / shiftWindow)
+	if s[from] == nil {
+		s[from] = map[int]map[string]float64{}
+	}
+	if s[from][window] == nil {
+		s[from][window] = map[string]float64{}
+	}
+	s[from][window][to]++
+}
+
+// largest returns the largest part of a region's requests that changed their region between
+// two windows after warmUp.
+func (s simShifts) largest(warmUp time.Duration) (shift float64, at time.Duration) {
+	for _, windows := range s {
+		for i, next := range windows {
+			last := windows[i-1]
+			if last == nil || time.Duration(i-1)*shiftWindow < warmUp {
+				continue
+			}
+			var lastTotal, nextTotal, moved float64
+			for _, n := range last {
+				lastTotal += n
+			}
+			for _, n := range next {
+				nextTotal += n
+			}
+			// The last window may be cut off by the end.
+			if nextTotal < lastTotal/4 {
+				continue
+			}
+			for region, n := range next {
+				moved += max(0, n/nextTotal-last[region]/lastTotal)
+			}
+			if moved > shift {
+				shift, at = moved, time.Duration(i)*shiftWindow
+			}
+		}
+	}
+	return shift, at
+}
+
 // simulate sends requests through the balancers of a fleet and returns the results
-// of those that were sent after warmUp. boundFraction of the requests may run in the
-// small region only. The run times of upstreams are multiplied by slowdown.
-func simulate(duration, warmUp time.Duration, boundFraction float64, slowdown func(time.Duration) float64) simResult {
+// of those that were sent after warmUp.
+func simulate(d simDeployment, duration, warmUp time.Duration) simResult {
 	var spec fgsteer.ViewSpec
 	sims := map[string]*simUpstream{}
-	for _, region := range simRegions {
-		for i := range region.upstreams {
-			id := fmt.Sprintf("%s-%d", region.name, i)
-			sims[id] = &simUpstream{slots: make(chan struct{}, simSlots)}
-			spec.Upstreams = append(spec.Upstreams, fgsteer.UpstreamSpec{ID: id, Group: "g", Address: id, Slots: simSlots, Region: region.name, AvailabilityZone: region.name + "-a"})
+	for _, zone := range d.zones {
+		for i := range zone.upstreams {
+			id := fmt.Sprintf("%s-%d", zone.name, i)
+			sims[id] = &simUpstream{deployment: &d, index: len(sims), slots: make(chan struct{}, d.slots)}
+			spec.Upstreams = append(spec.Upstreams, fgsteer.UpstreamSpec{ID: id, Group: "g", Address: id, Slots: d.slots, Region: zone.region, AvailabilityZone: zone.name})
 		}
 	}
 	v := fgsteer.NewView(spec)
-	fleet := make([]*Balancer, simVMs)
+	fleet, regions := make([]*Balancer, d.vms), d.regions()
 	for i := range fleet {
-		fleet[i] = New(Options{VM: fmt.Sprint("vm-", i), Region: simRegions[i%len(simRegions)].name})
-		fleet[i].SetRegionRTT(simRTT)
+		zone := d.zones[i%len(d.zones)]
+		fleet[i] = New(Options{VM: fmt.Sprint("vm-", i), Region: zone.region, AvailabilityZone: zone.name})
+		fleet[i].SetRegionRTT(d.rtt)
 		fleet[i].Update(v)
 	}
-	random := rand.New(rand.NewPCG(1, 2))
+	random := rand.New(rand.NewPCG(d.seed, 2))
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var result simResult
-	count := func(elapsed time.Duration, n *int) {
+	shifts := simShifts{}
+	count := func(elapsed time.Duration, counters ...*int) {
 		if elapsed >= warmUp {
 			mu.Lock()
 			defer mu.Unlock()
 			result.sent++
-			*n++
+			for _, n := range counters {
+				*n++
+			}
 		}
 	}
 	start := time.Now()
-	for i := range int(duration.Seconds() * simRate) {
-		time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / simRate)))
-		vm, n := random.IntN(simVMs), random.IntN(simKeys/len(simRegions))
+	share := start.Add(d.stateInterval)
+	warm := false
+	for i := range int(duration.Seconds() * d.rate) {
+		time.Sleep(time.Until(start.Add(time.Duration(float64(i) * float64(time.Second) / d.rate))))
+		elapsed := time.Since(start)
+		if !warm && elapsed >= warmUp {
+			warm = true
+			for _, u := range sims {
+				u.mu.Lock()
+				u.runs = 0
+				u.mu.Unlock()
+			}
+		}
+		if d.stateInterval > 0 && !time.Now().Before(share) {
+			share = share.Add(d.stateInterval)
+			shareLoads(fleet)
+		}
+		if d.beforeRequest != nil {
+			d.beforeRequest(fleet, v, elapsed)
+		}
+		vm, n := d.pickVM(random, elapsed), random.IntN(d.keys/len(regions))
+		b := fleet[vm]
+		region := b.options.Region
 		// Each region's callers have keys of their own.
-		key := fmt.Sprint(n*len(simRegions) + vm%len(simRegions))
-		var regions []string
-		if random.Float64() < boundFraction {
-			regions = []string{simRegions[0].name}
+		key := fmt.Sprint(n*len(regions) + slices.Index(regions, region))
+		var bound []string
+		if random.Float64() < d.boundFraction {
+			bound = regions[:1]
+		}
+		isHot := d.hot.region == region && elapsed >= d.hot.from && elapsed < d.hot.until && random.Float64() < d.hot.fraction
+		if isHot {
+			key = fmt.Sprint("hot-", random.IntN(d.hot.keys))
+			if d.hot.bound {
+				bound = []string{region}
+			}
+		}
+		if d.keyless {
+			key = ""
+		}
+		jitter, slowdown := 0.85+0.3*random.Float64(), 1.0
+		if d.slowdown != nil {
+			slowdown = d.slowdown(elapsed)
 		}
-		elapsed, jitter := time.Since(start), 0.85+0.3*random.Float64()
 		wg.Go(func() {
-			b, sent := fleet[vm], time.Now()
-			u, err := b.Choose(Criteria{Group: "g", AffinityKey: key, Regions: regions, Objective: simObjective, MaxLoadPerSlot: testMaxLoad})
+			sent := time.Now()
+			p, err := b.Place(Criteria{Group: "g", AffinityKey: key, Regions: bound, Objective: d.objective, MaxLoadPerSlot: testMaxLoad})
+			u := p.Upstream
 			if err != nil {
 				count(elapsed, &result.refused)
 				return
 			}
 			rtt := time.Duration(0)
 			if u.Spec().Region != b.options.Region {
-				rtt = simRTT
+				rtt = d.rtt
 			}
 			time.Sleep(rtt / 2)
-			load, r := sims[u.Spec().ID].serve(key, jitter*slowdown(elapsed), simTimeout-rtt)
+			report, r := sims[u.Spec().ID].serve(key, jitter*slowdown, d.timeout-rtt, start)
 			time.Sleep(rtt / 2)
 			if r != Silent {
-				b.RecordLoad(u, load)
+				b.RecordReport(u, report)
+			}
+			if r == Answered {
+				b.RecordRun(u, p.Expected, time.Since(sent), report.Slowdown)
+				if !isHot {
+					mu.Lock()
+					shifts.add(region, u.Spec().Region, elapsed)
+					mu.Unlock()
+				}
+				if u.Spec().Region == region && u.Spec().AvailabilityZone != b.options.AvailabilityZone && elapsed >= warmUp {
+					mu.Lock()
+					result.otherZone++
+					mu.Unlock()
+				}
 			}
 			b.Done(u, r)
 			switch {
 			case r == Silent:
 				count(elapsed, &result.silent)
 			case r == Shed:
-				count(elapsed, &result.refused)
-			case time.Since(sent) > simObjective:
+				count(elapsed, &result.refused, &result.shed)
+			case time.Since(sent) > d.objective:
 				count(elapsed, &result.late)
 			default:
 				count(elapsed, &result.inTime)
@@ -178,43 +381,98 @@
 		})
 	}
 	wg.Wait()
+	total, most := 0, 0
+	for _, u := range sims {
+		total, most = total+u.runs, max(most, u.runs)
+	}
+	result.busiest = float64(most) * float64(len(sims)) / float64(max(1, total))
+	result.shift, result.shiftAt = shifts.largest(warmUp)
 	return result
 }
 
+// pickVM returns the gateway of the next request.
+func (d *simDeployment) pickVM(random *rand.Rand, elapsed time.Duration) int {
+	regions := d.regions()
+	for {
+		vm := random.IntN(d.vms)
+		if d.wave == 0 {
+			return vm
+		}
+		phase := float64(slices.Index(regions, d.zones[vm%len(d.zones)].region)) / float64(len(regions))
+		rate := 1 + d.wave*math.Sin(2*math.Pi*(elapsed.Seconds()/d.wavePeriod.Seconds()+phase))
+		if random.Float64()*(1+d.wave) < rate {
+			return vm
+		}
+	}
+}
+
+// shareLoads hands the load reports of each gateway to the others of its zone.
+func shareLoads(fleet []*Balancer) {
+	for _, from := range fleet {
+		reports := from.LoadReports()
+		for _, to := range fleet {
+			if to != from && to.options.AvailabilityZone == from.options.AvailabilityZone {
+				to.ApplyLoadReports(reports)
+			}
+		}
+	}
+}
+
 // checkSimulation fails if less than minInTime of the requests were completed
 // within the latency objective.
-func checkSimulation(t *testing.T, minInTime float64, duration, warmUp time.Duration, boundFraction float64, slowdown func(time.Duration) float64) {
+func checkSimulation(t *testing.T, minInTime float64, d simDeployment, duration, warmUp time.Duration) simResult {
 	t.Helper()
+	var r simResult
 	synctest.Test(t, func(t *testing.T) {
-		r := simulate(duration, warmUp, boundFraction, slowdown)
-		t.Logf("%+v: in time %.3f, late %.3f, silent %.3f, refused %.3f", r, r.fraction(r.inTime), r.fraction(r.late), r.fraction(r.silent), r.fraction(r.refused))
+		r = simulate(d, duration, warmUp)
+		t.Logf("%+v: in time %.3f, late %.3f, silent %.3f, refused %.3f, shed %.3f, in another zone %.3f", r, r.fraction(r.inTime), r.fraction(r.late), r.fraction(r.silent), r.fraction(r.refused), r.fraction(r.shed), r.fraction(r.otherZone))
 		if r.fraction(r.inTime) < minInTime {
 			t.Errorf("%.3f of the requests from %v on completed in time, want %.2f", r.fraction(r.inTime), warmUp, minInTime)
 		}
 	})
+	return r
 }
 
 // Guards against a small region that stays overloaded after a cold start. Its
 // upstreams receive more requests than they can run cold; the excess must go to
 // other regions, which have capacity.
 func TestSmallRegionRecoversFromAColdStart(t *testing.T) {
-	checkSimulation(t, 0.95, 20*time.Second, 10*time.Second, 0, slowStart)
+	d := smallRegionDeployment()
+	d.slowdown = slowStart
+	checkSimulation(t, 0.95, d, 20*time.Second, 10*time.Second)
 }
 
 // Guards against refusals of requests that may run in the small region only and use
 // its whole capacity. Requests that may run elsewhere must leave that region.
 func TestRegionKeepsCapacityForBoundRequests(t *testing.T) {
-	checkSimulation(t, 0.9, 20*time.Second, 10*time.Second, 0.06, slowStart)
+	d := smallRegionDeployment()
+	d.slowdown, d.boundFraction = slowStart, 0.06
+	checkSimulation(t, 0.9, d, 20*time.Second, 10*time.Second)
 }
 
 // Guards against lasting overload after a period in which all upstreams are slow.
 func TestThroughputRecoversAfterASlowdown(t *testing.T) {
-	checkSimulation(t, 0.95, 25*time.Second, 15*time.Second, 0, func(elapsed time.Duration) float64 {
+	d := smallRegionDeployment()
+	d.slowdown = func(elapsed time.Duration) float64 {
 		if elapsed > 5*time.Second && elapsed < 10*time.Second {
 			return 3
 		}
 		return 1
-	})
+	}
+	checkSimulation(t, 0.95, d, 25*time.Second, 15*time.Second)
+}
+
+// Guards against uneven zones and slow machines that make requests late, and against an
+// upstream that gets more than twice the mean.
+func TestUnevenZonesAreServed(t *testing.T) {
+	d := unevenDeployment()
+	r := checkSimulation(t, 0.8, d, 46*time.Second, 10*time.Second)
+	if r.busiest > 2 {
+		t.Errorf("the busiest upstream ran %.2f times the mean", r.busiest)
+	}
+	if r.shift > 0.15 {
+		t.Errorf("%.3f of a region's requests changed region at %s", r.shift, r.shiftAt)
+	}
 }
 
 // slowStart doubles the run times in the first three seconds, while the upstreams
@@ -241,8 +499,8 @@
 		if i*int(step) > int(5*time.Second) && i*int(step) < int(25*time.Second) {
 			load = 8
 		}
-		w.add(regions[0], load, now)
-		w.add(regions[1], 0.3, now)
+		w.add(regions[0], load, false, now)
+		w.add(regions[1], 0.3, false, now)
 		shares = append(shares, share())
 	}
 	window := int(2 * time.Second / step)
--- a/internal/coordination/fgaffinity/loads.go
+++ b/internal/coordination/fgaffinity/loads.go
@@ -138,9 +138,10 @@
 	if g == nil {
 		return
 	}
-	g.regionWeights.add(u.region.Load(), float64(r.Load)/float64(slots), now)
 	g.recordSlowdown(u, r.Slowdown, now)
-	if g.tellsSlowdown(now) {
+	timed := g.tellsSlowdown(now)
+	g.regionWeights.add(u.region.Load(), float64(r.Load)/float64(slots), timed, now)
+	if timed {
 		u.mu.Lock()
 		u.own = ownReport{load: after, slowdown: r.Slowdown, at: now, failed: r.Failed && after < slots, pending: true}
 		u.mu.Unlock()
@@ -185,8 +186,8 @@
 		u.otherLoad.Store(max(0, int64(r.Load)-ownThen))
 		u.loadObserved.Store(at)
 		u.reported.Store(at)
-		g.regionWeights.add(u.region.Load(), float64(r.Load)/float64(u.Spec().Slots), now)
 		g.recordSlowdown(u, r.Slowdown, at)
+		g.regionWeights.add(u.region.Load(), float64(r.Load)/float64(u.Spec().Slots), g.tellsSlowdown(now), now)
 	}
 	return applied
 }
--- a/internal/coordination/fgaffinity/rank.go
+++ b/internal/coordination/fgaffinity/rank.go
@@ -20,7 +20,7 @@
 	// sampledUpstreams is how many upstreams of the own zone, of the rest of the region
 	// and of other regions are compared for a request without a key. If all VMs compared
 	// all upstreams, they would send to the same one until its next report.
-	sampledUpstreams = 5
+	sampledUpstreams = 2
 )
 
 // rankClass holds the upstreams of a group that have the same region and number of slots.
--- a/internal/coordination/fgaffinity/regionweights.go
+++ b/internal/coordination/fgaffinity/regionweights.go
@@ -40,6 +40,8 @@
 	mu         sync.Mutex
 	regions    map[string]*regionWeight
 	lastUpdate int64
+	// timed means that upstreams of the group tell a slowdown.
+	timed bool
 }
 
 // regionWeight is the average load and the weight of one region.
@@ -50,8 +52,15 @@
 	// weightBits is the factor for the scores of the region's upstreams, as the bits
 	// of a float64.
 	weightBits atomic.Uint64
+	// meanBits is the mean load per slot, as the bits of a float64. It is 0 unless
+	// upstreams tell a slowdown.
+	meanBits atomic.Uint64
 }
 
+// mean returns the mean load per slot of the region where upstreams are chosen by expected
+// time, and otherwise 0.
+func (r *regionWeight) mean() float64 { return math.Float64frombits(r.meanBits.Load()) }
+
 // weight returns the factor for the scores of the region's upstreams.
 func (r *regionWeight) weight() float64 { return math.Float64frombits(r.weightBits.Load()) }
 
@@ -82,9 +91,10 @@
 }
 
 // add adds an upstream's load per slot to the average of its region.
-func (w *regionWeights) add(r *regionWeight, loadPerSlot float64, now int64) {
+func (w *regionWeights) add(r *regionWeight, loadPerSlot float64, timed bool, now int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.timed = timed
 	if r.lastAdd == 0 {
 		r.lastAdd = now
 	}
@@ -108,6 +118,9 @@
 	}
 	threshold := max(overloadThreshold, load/float64(max(1, slots)))
 	for _, r := range w.regions {
+		if w.timed {
+			r.meanBits.Store(math.Float64bits(r.decayedAverage(now)))
+		}
 		excess := (r.decayedAverage(now) - threshold) / overloadSpan
 		target := min(1, max(minRegionWeight, 1-excess))
 		r.weightBits.Store(math.Float64bits(min(r.weight()*step, max(r.weight()/step, target))))
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -126,10 +126,25 @@
 
 // load estimates the number of requests of all VMs at the upstream.
 func (u *Upstream) load(now int64) float64 {
-	age := float64(now-u.loadObserved.Load()) / float64(loadHalfLife)
-	return float64(u.inFlight.Load()) + float64(u.otherLoad.Load())*math.Exp2(-age)
+	return float64(u.inFlight.Load()) + float64(u.otherLoad.Load())*u.freshness(now)
 }
 
+// freshness returns the weight of the load that was last reported.
+func (u *Upstream) freshness(now int64) float64 {
+	return math.Exp2(-float64(now-u.loadObserved.Load()) / float64(loadHalfLife))
+}
+
+// unknownLoad returns what the decayed report leaves open, if the upstream is loaded as the
+// rest of its region.
+func (u *Upstream) unknownLoad(now int64) float64 {
+	mean := u.region.Load().mean() * float64(u.Spec().Slots)
+	return (1 - u.freshness(now)) * max(0, mean-float64(u.inFlight.Load()))
+}
+
+// pressed reports whether the upstream's region is loaded, so that cold runs there take the
+// capacity of other requests.
+func (u *Upstream) pressed() bool { return u.region.Load().mean() > pressedLoad }
+
 // loadPerSlot returns the estimated load divided by the upstream's slots.
 func (u *Upstream) loadPerSlot(now int64) float64 { return u.load(now) / float64(u.Spec().Slots) }
 
