Spread hot keys, and bound how many requests change region at once

Cause: a key with half of a region's requests ran at one upstream, which then had 7.9 times the mean load, raised the average load of its region, and changed region at once when the weights of two regions passed each other. When a workspace filled up the region that it is bound to, the requests of others left it within a second. Change: where upstreams are chosen by expected time, the requests of a hot key are divided between up to eight upstreams of a region, and between two regions while their weights are about equal. Each upstream counts once in the average load of its region. Weights follow earlier and more slowly.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -82,6 +82,9 @@
 	// of the slowdowns told.
 	slowdownTold atomic.Int64
 	meanSlowdown average
+	hot          hotKeys
+	crossings    crossings
+	remote       remotePart
 }
 
 // state is the immutable snapshot that Choose reads.
@@ -261,15 +264,24 @@
 	if timed && c.AffinityKey != "" {
 		preferFaster(&best, &expected, c.Objective)
 	}
+	hasFree := false
 	for i, ranked := range best.ranked[:best.count] {
 		u := ranked.upstream
-		if i == maxCandidates && (u.pressed() && expected[i].class == coldRun || expected[0].LoadPerSlot < 1 || expected[1].LoadPerSlot < 1) {
+		crosses := timed && c.AffinityKey != "" && len(c.Regions) == 0 && u.Spec().Region != preferred.Spec().Region
+		if crosses && !g.crossings.allowed() {
+			continue
+		}
+		if i == maxCandidates && (hasFree || u.pressed() && expected[i].class == coldRun) {
 			break
 		}
+		hasFree = hasFree || expected[i].LoadPerSlot < 1
 		if !c.accepts(u, expected[i]) || u.isCold(wall, now) && (wall.Sub(b.started) < coldSendDelay || !u.reserveColdSend(wall, b.coldQuota(s, g, u))) ||
 			u.limit.set.Load() && !b.reserveLimitedSend(s, u, wall) {
 			continue
 		}
+		if timed && len(c.Regions) == 0 {
+			g.recordRegion(c, crosses, u.Spec().Region != b.options.Region, now)
+		}
 		u.inFlight.Add(1)
 		u.recordSend(now)
 		if c.AffinityKey != "" {
@@ -277,9 +289,21 @@
 		}
 		return Placement{Upstream: u, Expected: expected[i], other: u != preferred}, nil
 	}
+	if timed && len(c.Regions) == 0 && c.AffinityKey == "" {
+		g.remote.record(false, true, now)
+	}
 	return Placement{}, ErrFull
 }
 
+// recordRegion records where a request that may run anywhere does.
+func (g *group) recordRegion(c Criteria, crosses, remote bool, now int64) {
+	if c.AffinityKey == "" {
+		g.remote.record(remote, false, now)
+	} else {
+		g.crossings.record(crosses)
+	}
+}
+
 // preferFaster puts the second candidate of a key first if its expected time is better by
 // more than the margin.
 func preferFaster(c *candidates, expected *[maxTimedCandidates]Estimate, objective time.Duration) {
--- a/internal/coordination/fgaffinity/loads.go
+++ b/internal/coordination/fgaffinity/loads.go
@@ -127,21 +127,25 @@
 	slots := u.Spec().Slots
 	own := u.inFlight.Load()
 	after := max(0, r.Load-1)
-	if r.Refused {
+	g := b.state.Load().groups[u.Spec().Group]
+	if g == nil {
+		return
+	}
+	g.recordSlowdown(u, r.Slowdown, now)
+	timed := g.tellsSlowdown(now)
+	if timed && r.Refused {
 		// The load does not include the request, which is still counted as in flight.
 		own, after = own-1, r.Load
 	}
 	u.otherLoad.Store(max(0, int64(r.Load)-own))
 	u.loadObserved.Store(now)
 	u.reported.Store(now)
-	g := b.state.Load().groups[u.Spec().Group]
-	if g == nil {
-		return
+	u.reportedLoad.Store(int64(r.Load))
+	if !timed {
+		g.regionWeights.add(u.region.Load(), float64(r.Load)/float64(slots), now)
 	}
-	g.recordSlowdown(u, r.Slowdown, now)
-	timed := g.tellsSlowdown(now)
-	g.regionWeights.add(u.region.Load(), float64(r.Load)/float64(slots), timed, now)
 	if timed {
+		g.regionWeights.addUpstreams(g.upstreams, now)
 		u.mu.Lock()
 		u.own = ownReport{load: after, slowdown: r.Slowdown, at: now, failed: r.Failed && after < slots, pending: true}
 		u.mu.Unlock()
@@ -187,7 +191,8 @@
 		u.loadObserved.Store(at)
 		u.reported.Store(at)
 		g.recordSlowdown(u, r.Slowdown, at)
-		g.regionWeights.add(u.region.Load(), float64(r.Load)/float64(u.Spec().Slots), g.tellsSlowdown(now), now)
+		u.reportedLoad.Store(int64(r.Load))
+		g.regionWeights.addUpstreams(g.upstreams, now)
 	}
 	return applied
 }
--- a/internal/coordination/fgaffinity/rank.go
+++ b/internal/coordination/fgaffinity/rank.go
@@ -27,22 +27,26 @@
 // Among them, a higher hash means a higher score in rendezvous hashing, so that most
 // scores need not be computed.
 type rankClass struct {
-	region    string
-	weight    *regionWeight
-	slots     int
-	hashes    []uint64
-	upstreams []*Upstream
+	region     string
+	regionHash uint64
+	weight     *regionWeight
+	slots      int
+	hashes     []uint64
+	upstreams  []*Upstream
 }
 
 // proximities are the distances of upstreams from this VM: the own availability zone, the
 // own region, and other regions.
-const proximities = 3
+const (
+	proximities     = 3
+	remoteProximity = proximities - 1
+)
 
 // addUpstream adds an upstream to the lists by which candidates are found.
 func (g *group) addUpstream(u *Upstream, o Options) {
 	g.upstreams = append(g.upstreams, u)
 	spec := u.Spec()
-	p := 2
+	p := remoteProximity
 	switch {
 	case spec.Region == o.Region && spec.AvailabilityZone == o.AvailabilityZone:
 		p = 0
@@ -53,7 +57,7 @@
 	i := slices.IndexFunc(g.classes, func(c rankClass) bool { return c.region == spec.Region && c.slots == spec.Slots })
 	if i < 0 {
 		i = len(g.classes)
-		g.classes = append(g.classes, rankClass{region: spec.Region, weight: u.region.Load(), slots: spec.Slots})
+		g.classes = append(g.classes, rankClass{region: spec.Region, regionHash: xxhash.Sum64String(spec.Region), weight: u.region.Load(), slots: spec.Slots})
 	}
 	g.classes[i].hashes = append(g.classes[i].hashes, u.hash)
 	g.classes[i].upstreams = append(g.classes[i].upstreams, u)
@@ -98,6 +102,10 @@
 	now      int64
 	// key is the hash of the affinity key.
 	key uint64
+	// region is the only region to consider, unless it is empty. If draw is not zero, the
+	// weights of regions are varied at random.
+	region string
+	draw   uint64
 	// skipAvoided leaves out failing and unreachable upstreams.
 	skipAvoided bool
 	best        candidates
@@ -123,7 +131,7 @@
 	sameRegionWeight := r.balancer.sameRegionWeight(r.criteria.Objective)
 	for i := range r.group.classes {
 		class := &r.group.classes[i]
-		if len(r.criteria.Regions) > 0 && !slices.Contains(r.criteria.Regions, class.region) {
+		if len(r.criteria.Regions) > 0 && !slices.Contains(r.criteria.Regions, class.region) || r.region != "" && class.region != r.region {
 			continue
 		}
 		top := r.highest(class, n)
@@ -134,6 +142,9 @@
 		if class.region == r.balancer.options.Region {
 			weight *= sameRegionWeight
 		}
+		if r.draw != 0 {
+			weight *= drawnFactor(r.draw, class.regionHash)
+		}
 		for _, t := range top.entries[:top.count] {
 			r.best.add(t.upstream, rendezvousScore(t.hash, class.slots)*weight, n)
 		}
@@ -175,6 +186,25 @@
 	return top
 }
 
+// keepInRegion replaces the last candidate by one of the first one's region if all others
+// are elsewhere, where few requests may go at once.
+func (r *ranking) keepInRegion() {
+	c := &r.best
+	if c.count < maxTimedCandidates {
+		return
+	}
+	home := c.ranked[0].upstream.Spec().Region
+	if c.ranked[1].upstream.Spec().Region == home || c.ranked[2].upstream.Spec().Region == home {
+		return
+	}
+	probe := *r
+	probe.best, probe.region = candidates{}, home
+	probe.byKey(maxCandidates)
+	if probe.best.count == maxCandidates {
+		c.ranked[2] = probe.best.ranked[1]
+	}
+}
+
 // byLoad ranks the upstreams by their load per slot.
 func (r *ranking) byLoad() {
 	for _, u := range r.group.upstreams {
@@ -187,10 +217,24 @@
 // byTime ranks some of the upstreams of each proximity by the expected time, with an
 // advantage for those that are nearer.
 func (r *ranking) byTime() {
-	for p, list := range r.group.nearby {
-		if len(list) == 0 {
+	mayLeave, mustLeave := true, false
+	if len(r.criteria.Regions) == 0 {
+		mayLeave, mustLeave = r.group.remote.limits()
+	}
+	if mustLeave {
+		r.sample(remoteProximity)
+	}
+	for p := range r.group.nearby {
+		if p == remoteProximity && (mustLeave || !mayLeave && r.best.count > 0) || mustLeave && r.best.count > 0 {
 			continue
 		}
+		r.sample(p)
+	}
+}
+
+// sample ranks some of the upstreams of a proximity by the expected time.
+func (r *ranking) sample(p int) {
+	if list := r.group.nearby[p]; len(list) > 0 {
 		found, start := 0, rand.IntN(len(list))
 		for i := range list {
 			u := list[(start+i)%len(list)]
@@ -209,15 +253,24 @@
 // rank returns the upstreams that a request may be sent to, the best first. Failing and
 // unreachable ones are among them only if there is no other.
 func (b *Balancer) rank(s *state, g *group, c Criteria, key uint64, timed bool, wall time.Time) candidates {
-	n := maxCandidates
+	n, parts := maxCandidates, 1
 	if timed {
 		n = maxTimedCandidates
 	}
+	if timed && c.AffinityKey != "" {
+		parts = g.hot.count(key, len(g.upstreams), int64(wall.Sub(b.epoch)))
+	}
 	for _, skipAvoided := range []bool{true, false} {
 		r := ranking{balancer: b, state: s, group: g, criteria: c, wall: wall, now: int64(wall.Sub(b.epoch)), key: key, skipAvoided: skipAvoided}
 		switch {
 		case c.AffinityKey != "":
+			if parts > 1 {
+				r.spread(parts)
+			}
 			r.byKey(n)
+			if timed {
+				r.keepInRegion()
+			}
 		case timed:
 			r.byTime()
 		default:
--- a/internal/coordination/fgaffinity/regionweights.go
+++ b/internal/coordination/fgaffinity/regionweights.go
@@ -18,20 +18,29 @@
 	loadDecay = 8 * time.Second
 	// weightUpdateInterval is the shortest time between updates of the weights.
 	weightUpdateInterval = 100 * time.Millisecond
-	// Keys move from a region to the others if its average load per slot exceeds
-	// overloadThreshold and the average of all regions. When it exceeds both by
-	// overloadSpan, nearly all of its keys have moved.
-	overloadThreshold = 0.8
-	overloadSpan      = 1.0
-	// maxWeightChangeRate is the largest relative change of a weight per second. It
-	// moves at most a tenth of a region's requests to another region in two seconds;
-	// operators declare a bound of 0.15.
-	maxWeightChangeRate = 0.18
 	// minRegionWeight is the weight that an overloaded region keeps, so that its
 	// load is still measured.
 	minRegionWeight = 0.05
 )
 
+// spill tells how keys move from a region to the others under load.
+type spill struct {
+	// Keys move if the region's average load per slot exceeds threshold and the average of
+	// all regions. When it exceeds both by span, nearly all of its keys have moved.
+	threshold, span float64
+	// maxRate is the largest relative change of a weight per second. At 0.18 it moves at
+	// most a tenth of a region's requests to another region in two seconds; operators
+	// declare a bound of 0.15.
+	maxRate float64
+}
+
+var (
+	usualSpill = spill{threshold: 0.8, span: 1, maxRate: 0.18}
+	// timedSpill applies where upstreams are chosen by expected time. Keys move earlier and
+	// more slowly, since some requests leave a full region besides.
+	timedSpill = spill{threshold: 0.6, span: 0.8, maxRate: 0.12}
+)
+
 // regionWeights averages the load per slot of a group's upstreams in each region
 // and computes the weights of the regions. Requests that may run anywhere move away
 // from a region with more load than the others, since requests that are bound to it
@@ -40,8 +49,6 @@
 	mu         sync.Mutex
 	regions    map[string]*regionWeight
 	lastUpdate int64
-	// timed means that upstreams of the group tell a slowdown.
-	timed bool
 }
 
 // regionWeight is the average load and the weight of one region.
@@ -49,6 +56,10 @@
 	average float64
 	lastAdd int64
 	slots   int
+	// load and reporting are the requests at upstreams that reported lately, and their
+	// slots.
+	load      float64
+	reporting int
 	// weightBits is the factor for the scores of the region's upstreams, as the bits
 	// of a float64.
 	weightBits atomic.Uint64
@@ -91,10 +102,9 @@
 }
 
 // add adds an upstream's load per slot to the average of its region.
-func (w *regionWeights) add(r *regionWeight, loadPerSlot float64, timed bool, now int64) {
+func (w *regionWeights) add(r *regionWeight, loadPerSlot float64, now int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timed = timed
 	if r.lastAdd == 0 {
 		r.lastAdd = now
 	}
@@ -103,25 +113,56 @@
 	r.lastAdd = now
 	if elapsed := now - w.lastUpdate; elapsed >= int64(weightUpdateInterval) {
 		w.lastUpdate = now
-		w.updateWeights(now, time.Duration(elapsed))
+		w.updateWeights(now, time.Duration(elapsed), usualSpill)
+	}
+}
+
+// addUpstreams adds the loads that upstreams reported lately to the averages of their
+// regions. Each upstream counts once: an upstream with a hot key sends most of the reports,
+// and its load says little about its region.
+func (w *regionWeights) addUpstreams(upstreams []*Upstream, now int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	elapsed := now - w.lastUpdate
+	if elapsed < int64(weightUpdateInterval) {
+		return
+	}
+	w.lastUpdate = now
+	for _, r := range w.regions {
+		r.load, r.reporting = 0, 0
+	}
+	for _, u := range upstreams {
+		if now-u.reported.Load() < int64(knownTime) {
+			r, slots := u.region.Load(), u.Spec().Slots
+			r.load, r.reporting = r.load+float64(u.reportedLoad.Load()), r.reporting+slots
+		}
+	}
+	for _, r := range w.regions {
+		if r.reporting == 0 {
+			continue
+		}
+		smoothing := 1 - math.Exp(-float64(min(max(0, now-r.lastAdd), int64(time.Second)))/float64(loadAverageWindow))
+		r.average += smoothing * (r.load/float64(r.reporting) - r.average)
+		r.lastAdd = now
+	}
+	w.updateWeights(now, time.Duration(elapsed), timedSpill)
+	for _, r := range w.regions {
+		r.meanBits.Store(math.Float64bits(r.decayedAverage(now)))
 	}
 }
 
 // updateWeights sets the weights of all regions. elapsed is the time since the last
 // call.
-func (w *regionWeights) updateWeights(now int64, elapsed time.Duration) {
-	step := math.Exp(maxWeightChangeRate * min(elapsed, time.Second).Seconds())
+func (w *regionWeights) updateWeights(now int64, elapsed time.Duration, s spill) {
+	step := math.Exp(s.maxRate * min(elapsed, time.Second).Seconds())
 	slots, load := 0, 0.0
 	for _, r := range w.regions {
 		slots += r.slots
 		load += float64(r.slots) * r.decayedAverage(now)
 	}
-	threshold := max(overloadThreshold, load/float64(max(1, slots)))
+	threshold := max(s.threshold, load/float64(max(1, slots)))
 	for _, r := range w.regions {
-		if w.timed {
-			r.meanBits.Store(math.Float64bits(r.decayedAverage(now)))
-		}
-		excess := (r.decayedAverage(now) - threshold) / overloadSpan
+		excess := (r.decayedAverage(now) - threshold) / s.span
 		target := min(1, max(minRegionWeight, 1-excess))
 		r.weightBits.Store(math.Float64bits(min(r.weight()*step, max(r.weight()/step, target))))
 	}
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -88,9 +88,10 @@
 	otherLoad    atomic.Int64
 	loadObserved atomic.Int64
 	// reported is when the load was last reported, and not assumed.
-	reported atomic.Int64
-	slowdown toldSlowdown
-	keys     keyMemory
+	reported     atomic.Int64
+	reportedLoad atomic.Int64
+	slowdown     toldSlowdown
+	keys         keyMemory
 	// sends is a ring of the times of the latest sends, and sendCount their number.
 	sends     [recentSends]atomic.Int64
 	sendCount atomic.Uint32
