Use upstreams that refuse part of their requests less, in proportion

Cause: an upstream that refuses a fifth of its requests with free slots got 1.1 times the mean, one that refuses three fifths 0.85 times. It was avoided only after 3 in 10 failures at one gateway, which sees it rarely in a large fleet. Change: where upstreams are chosen by expected time, the failing part of each is averaged over the results at this gateway and those that others of the zone report. A full upstream that refuses a request does not fail.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -351,7 +351,9 @@
 // Done records the result of a request that Choose assigned to an upstream.
 func (b *Balancer) Done(u *Upstream, r Result) {
 	u.inFlight.Add(-1)
-	u.recordResult(r, int64(time.Since(b.epoch)))
+	now := int64(time.Since(b.epoch))
+	g := b.state.Load().groups[u.Spec().Group]
+	u.recordResult(r, g != nil && g.tellsSlowdown(now), now)
 }
 
 // RecordCold records that an upstream has reported to be cold for a duration.
--- a/internal/coordination/fgaffinity/load_test.go
+++ b/internal/coordination/fgaffinity/load_test.go
@@ -53,6 +53,9 @@
 	keyless bool
 	// stateInterval is how often gateways share loads. Zero means never.
 	stateInterval time.Duration
+	// faulty is the part of the requests that the first upstream refuses while it has free
+	// slots.
+	faulty float64
 	// hot replaces part of the requests between its times.
 	hot hotWorkspace
 	// beforeRequest is called before each request. It may be nil.
@@ -115,7 +118,8 @@
 	mu       sync.Mutex
 	inFlight int
 	cached   []string
-	runs     int
+	// arrived counts all requests, runs those that ran.
+	arrived, runs int
 }
 
 // machine returns how many times as long as usual work takes on the upstream's machine.
@@ -141,6 +145,11 @@
 		}
 	}()
 	u.mu.Lock()
+	u.arrived++
+	if u.index == 0 && rand.Float64() < d.faulty {
+		defer u.mu.Unlock()
+		return Report{Load: u.inFlight, Refused: true, Failed: true}, Shed
+	}
 	if u.inFlight >= d.slots+d.queue {
 		u.mu.Unlock()
 		return Report{Load: d.slots + d.queue, Refused: true, Failed: true}, Shed
@@ -201,6 +210,8 @@
 	shed, otherZone int
 	// busiest is the load of the busiest upstream relative to the mean.
 	busiest float64
+	// first is the number of requests at the first upstream relative to the mean.
+	first float64
 	// shift is the largest part of a region's requests that changed the region where they
 	// ran from one window of 2 s to the next, of those that may run anywhere. shiftAt is
 	// when the second window began.
@@ -305,7 +316,7 @@
 			warm = true
 			for _, u := range sims {
 				u.mu.Lock()
-				u.runs = 0
+				u.arrived, u.runs = 0, 0
 				u.mu.Unlock()
 			}
 		}
@@ -384,10 +395,14 @@
 		})
 	}
 	wg.Wait()
-	total, most := 0, 0
+	total, most, arrived, first := 0, 0, 0, 0
 	for _, u := range sims {
-		total, most = total+u.runs, max(most, u.runs)
+		total, most, arrived = total+u.runs, max(most, u.runs), arrived+u.arrived
+		if u.index == 0 {
+			first = u.arrived
+		}
 	}
+	result.first = float64(first) * float64(len(sims)) / float64(max(1, arrived))
 	result.busiest = float64(most) * float64(len(sims)) / float64(max(1, total))
 	result.shift, result.shiftAt = shifts.largest(warmUp, d.hot)
 	return result
@@ -484,6 +499,35 @@
 	}
 }
 
+// Guards against an upstream that gets as many requests as others although it refuses part
+// of them with free slots, at fleets of which each gateway sees it rarely.
+func TestRefusingUpstreamGetsFewerRequests(t *testing.T) {
+	tests := []struct {
+		name          string
+		faulty        float64
+		keyless       bool
+		least, atMost float64
+	}{
+		{"healthy", 0, false, 0.6, 2},
+		{"a fifth", 0.2, false, 0.2, 0.75},
+		{"three fifths", 0.6, false, 0.01, 0.5},
+		{"a fifth without keys", 0.2, true, 0.05, 0.9},
+		{"three fifths without keys", 0.6, true, 0.01, 0.5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := unevenDeployment()
+			// The upstreams have equal loads, so that the mean can be compared.
+			d.zones = []simZone{{"east", "east-a", 10}, {"east", "east-b", 10}}
+			d.rate, d.keys, d.wave, d.faulty, d.keyless = 160, 240, 0, tt.faulty, tt.keyless
+			r := checkSimulation(t, 0.9, d, 60*time.Second, 20*time.Second)
+			if r.first < tt.least || r.first > tt.atMost {
+				t.Errorf("the upstream got %.2f times the mean, want %.2f to %.2f", r.first, tt.least, tt.atMost)
+			}
+		})
+	}
+}
+
 // Guards against requests without a key that are refused or late although other upstreams
 // are free, and against too many that leave their region at once.
 func TestUnevenZonesWithoutKeys(t *testing.T) {
--- a/internal/coordination/fgaffinity/loads.go
+++ b/internal/coordination/fgaffinity/loads.go
@@ -192,6 +192,9 @@
 		u.reported.Store(at)
 		g.recordSlowdown(u, r.Slowdown, at)
 		u.reportedLoad.Store(int64(r.Load))
+		u.mu.Lock()
+		u.failing.record(r.Failed, now)
+		u.mu.Unlock()
 		g.regionWeights.addUpstreams(g.upstreams, now)
 	}
 	return applied
--- a/internal/coordination/fgaffinity/rank.go
+++ b/internal/coordination/fgaffinity/rank.go
@@ -106,6 +106,8 @@
 	// weights of regions are varied at random.
 	region string
 	draw   uint64
+	// timed means that upstreams are chosen by expected time.
+	timed bool
 	// skipAvoided leaves out failing and unreachable upstreams.
 	skipAvoided bool
 	best        candidates
@@ -114,7 +116,7 @@
 // usable reports whether the request may be sent to an upstream.
 func (r *ranking) usable(u *Upstream) bool {
 	spec := u.Spec()
-	if spec.Draining || r.state.view.Drained(spec.AvailabilityZone) || r.skipAvoided && u.avoided(r.now) ||
+	if spec.Draining || r.state.view.Drained(spec.AvailabilityZone) || r.skipAvoided && (u.avoided(r.now) || r.timed && u.declines(r.criteria, r.key, r.now)) ||
 		len(r.criteria.Regions) > 0 && !slices.Contains(r.criteria.Regions, spec.Region) || slices.Contains(r.criteria.Exclude, u) {
 		return false
 	}
@@ -242,7 +244,9 @@
 				continue
 			}
 			e := r.balancer.estimate(r.group, u, keylessRun, r.wall)
-			r.best.add(u, -float64(e.Total())-float64(p)*localityMargin*float64(e.Run), maxTimedCandidates)
+			// A request that fails is sent once more.
+			attempts := 1 / (1 - min(u.failing.part(r.now), maxDeclined))
+			r.best.add(u, -float64(e.Total())*attempts-float64(p)*localityMargin*float64(e.Run), maxTimedCandidates)
 			if found++; found == sampledUpstreams {
 				break
 			}
@@ -261,7 +265,7 @@
 		parts = g.hot.count(key, len(g.upstreams), int64(wall.Sub(b.epoch)))
 	}
 	for _, skipAvoided := range []bool{true, false} {
-		r := ranking{balancer: b, state: s, group: g, criteria: c, wall: wall, now: int64(wall.Sub(b.epoch)), key: key, skipAvoided: skipAvoided}
+		r := ranking{balancer: b, state: s, group: g, criteria: c, wall: wall, now: int64(wall.Sub(b.epoch)), key: key, timed: timed, skipAvoided: skipAvoided}
 		switch {
 		case c.AffinityKey != "":
 			if parts > 1 {
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -91,6 +91,7 @@
 	reported     atomic.Int64
 	reportedLoad atomic.Int64
 	slowdown     toldSlowdown
+	failing      failing
 	keys         keyMemory
 	// sends is a ring of the times of the latest sends, and sendCount their number.
 	sends     [recentSends]atomic.Int64
@@ -150,8 +151,8 @@
 func (u *Upstream) loadPerSlot(now int64) float64 { return u.load(now) / float64(u.Spec().Slots) }
 
 // recordResult updates the failure rate and the backoff with the result of a
-// request.
-func (u *Upstream) recordResult(r Result, now int64) {
+// request. timed means that the upstream is chosen by expected time.
+func (u *Upstream) recordResult(r Result, timed bool, now int64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	failure := 1.0
@@ -168,6 +169,13 @@
 		u.backOff(now)
 	case Failed, Shed, Lost, Malformed:
 	}
+	if timed {
+		// A full upstream that refuses a request does not fail.
+		if r != Shed || u.reportedLoad.Load() < int64(u.Spec().Slots) {
+			u.failing.record(failure > 0, now)
+		}
+		return
+	}
 	u.failureRate += failureWeight * (failure - u.failureRate)
 	if u.failureRate > maxFailureRate {
 		u.avoidFor(now, failureBackoff)
@@ -201,6 +209,7 @@
 func (u *Upstream) forgetFailures() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.failing.bits.Store(0)
 	u.failureRate, u.backoff, u.overdueCount, u.slowBackoff = 0, 0, 0, 0
 	u.avoidUntil.Store(0)
 	u.otherLoad.Store(0)
