Decide by urgency, time left and share who gets an upstream's room

Cause: all requests of a group had the same limit of 1.5 per slot. On a group with charges and look-ups, charges were refused as often as look-ups, and nearly half of the responses were late.

Change: the new package fgadmission decides about each candidate: send, wait or refuse. A request that can't be in time takes only a free slot, one that can may wait at the upstream within its objective. Less urgent requests leave a margin that grows with the demand and the refusals of more urgent ones. Within a priority, workspaces share the room by max-min fairness, with what they usually send as their weight. A kind or workspace that is served less than 0.4 times as often as the mean competes on equal terms. Refusals tell when room probably comes, from the measured rate at which sends end. It applies to groups that routes of different priority share, or whose upstreams tell a slowdown; the others keep the old limit.

--- a/internal/fggateway/detour.go
+++ b/internal/fggateway/detour.go
@@ -59,7 +59,7 @@
 	u := reserved
 	if u == nil {
 		var err error
-		if u, err = g.balancer.Choose(q.criteria()); err != nil {
+		if u, err = g.place(q); err != nil {
 			if hasPeer {
 				return detour{peer}, nil
 			}
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -29,8 +29,8 @@
 	// maxUnreached is how many upstreams that are unreachable, or whose address
 	// another program has, are skipped for one request.
 	maxUnreached = 3
-	// maxLoadPerSlot is the load per slot at which an upstream gets no more requests.
-	// Requests that queue at an upstream are late and delay all later ones.
+	// maxLoadPerSlot is the load per slot at which an upstream gets no more requests, in
+	// groups about which fgadmission does not decide. Requests that queue at an upstream are late and delay all later ones.
 	maxLoadPerSlot = 1.5
 	// bufferedBytes of a response are read before its first byte is passed on, so
 	// that the request can be retried if the response is truncated.
@@ -67,6 +67,7 @@
 	ctx, cancel := q.context(r)
 	defer cancel()
 	q.group = g.groups.Pick(q.route, q.affinityKey())
+	q.attempt = g.beginAdmission(q)
 	unreached := 0
 	var refused *refusal
 	// next is the upstream for a retry that was already taken from the retry budget
@@ -140,6 +141,7 @@
 		g.retryBudget.CountRequest(q.group)
 	}
 	q.chosen = append(q.chosen, u)
+	q.attempt.Sent()
 	return g.send(ctx, r, q, u)
 }
 
@@ -158,9 +160,13 @@
 
 // criteria returns the criteria by which the balancer chooses an upstream.
 func (q *request) criteria() fgaffinity.Criteria {
-	return fgaffinity.Criteria{
+	c := fgaffinity.Criteria{
 		Group: q.group, AffinityKey: q.affinityKey(), Regions: q.regions(), Objective: q.route.Objective, Exclude: q.chosen, MaxLoadPerSlot: maxLoadPerSlot,
 	}
+	if q.attempt != nil {
+		c.Accept = q.attempt.Accept
+	}
+	return c
 }
 
 // sendOutcome is the outcome of a send.
@@ -212,7 +218,7 @@
 	}
 	q.sends++
 	if meta.HasLoad {
-		g.balancer.RecordLoad(u, meta.Load.Running+meta.Load.Waiting)
+		g.recordLoad(u, meta.Load)
 	}
 	if meta.ColdDuration > 0 {
 		g.balancer.RecordCold(u, meta.ColdDuration)
@@ -220,6 +226,7 @@
 	g.recordLimit(q, u, meta)
 	wrapped := &upstreamResponse{Response: response, meta: meta, upstream: u, cancel: cancel}
 	refused := g.classify(q, wrapped)
+	q.recordAdmission(wrapped, start)
 	return sendOutcome{response: wrapped, result: wrapped.result, refusal: refused}
 }
 
@@ -231,6 +238,7 @@
 // finishSend records the result of a send.
 func (g *Gateway) finishSend(u *fgaffinity.Upstream, group string, r fgaffinity.Result) {
 	g.balancer.Done(u, r)
+	g.admission.SendEnded(group)
 	g.metrics.SendEnded(group, r.String())
 }
 
@@ -380,7 +388,8 @@
 	if q.mayHaveRun {
 		return &refusal{status: http.StatusBadGateway, code: c, reason: reason + "; an earlier send may have run"}
 	}
-	return &refusal{status: http.StatusServiceUnavailable, code: c, reason: reason, retryAfter: overloadRetryAfter + rand.N(overloadRetryAfter)}
+	after := max(overloadRetryAfter, q.attempt.RetryAfter())
+	return &refusal{status: http.StatusServiceUnavailable, code: c, reason: reason, retryAfter: after + rand.N(after)}
 }
 
 // regions returns the regions where a request may run: those that both its route
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/filbertgap/filbertgap/internal/coordination/fgadmission"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmirror"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgpath"
@@ -113,6 +114,7 @@
 	balancer    *fgaffinity.Balancer
 	groups      fgaffinity.GroupSelector
 	retryBudget fgaffinity.RetryBudget
+	admission   fgadmission.Controller
 	limiter     *fgquota.Limiter
 	crashes     fgsuspect.Crashes
 	bodies      bodyMemory
@@ -240,6 +242,7 @@
 	g.limiter.SetMembers(vms)
 	if p := v.Policy(); p != nil {
 		g.limiter.SetPolicy(p)
+		g.admission.SetPolicy(p)
 	}
 }
 
--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -48,7 +48,11 @@
 
 func (testDialect) ReadResponse(r *http.Response) fgmessage.Response {
 	limit, err := strconv.ParseFloat(r.Header.Get("T-Limit"), 64)
+	// T-Load holds the running requests and the slowdown, which may be missing.
+	var load fgmessage.Load
+	n, _ := fmt.Sscan(r.Header.Get("T-Load"), &load.Running, &load.Slowdown)
 	return fgmessage.Response{
+		Load: load, HasLoad: n > 0,
 		AttemptID: r.Header.Get("T-Id"), Signed: r.Header.Get("T-Signed") != "", NotRun: r.Header.Get("T-Not-Run") != "",
 		Misdirected: r.StatusCode == http.StatusMisdirectedRequest, Limit: limit, HasLimit: err == nil,
 	}
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/filbertgap/filbertgap/internal/coordination/fgadmission"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgpath"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
@@ -28,8 +29,10 @@
 	route     *fgsteer.RouteSpec
 	workspace *fgsteer.WorkspaceSpec
 	group     string
-	header    http.Header
-	body      []byte
+	// attempt is nil in groups about which admission does not decide.
+	attempt *fgadmission.Attempt
+	header  http.Header
+	body    []byte
 	// reserved is the memory reserved for the body, in bytes.
 	reserved int64
 	// chosen lists the upstreams chosen for the sends of the request, in order.
--- a/internal/state/fgsteer/policy.go
+++ b/internal/state/fgsteer/policy.go
@@ -149,6 +149,9 @@
 	return w, ok
 }
 
+// Routes returns all routes in the order of their declaration.
+func (p *Policy) Routes() []RouteSpec { return p.spec.Routes }
+
 // Workspaces returns all workspaces in the order of their declaration.
 func (p *Policy) Workspaces() []WorkspaceSpec { return p.spec.Workspaces }
 
