Divide an upstream's room between the gateways where requests wait

Cause: all gateways of a zone see the same free slot in a load report, and each may give it to a request that waits there.

A waiting request takes its gateway's part of the free slots, rounded at random. The part follows from the number of requests that wait at the others, with two candidates each, over the upstreams of the group. Relays drop the field.

--- a/internal/coordination/fgadmission/peers.go
+++ b/internal/coordination/fgadmission/peers.go
@@ -39,7 +39,7 @@
 	var waiting []GroupWaiting
 	for name, g := range c.groups {
 		if n := len(g.queue.waiters); n > 0 {
-			waiting = append(waiting, GroupWaiting{Group: hash(name), Count: n})
+			waiting = append(waiting, GroupWaiting{Group: GroupHash(name), Count: n})
 		}
 	}
 	slices.SortFunc(waiting, func(a, b GroupWaiting) int { return cmp.Compare(b.Count, a.Count) })
@@ -66,12 +66,20 @@
 	c.peers[vm] = peer{at: now, waiting: waiting[:min(len(waiting), maxWaitingGroups)]}
 }
 
+// Contenders returns the number of requests that probably wait for the same upstream of a
+// group, one of this gateway included.
+func (c *Controller) Contenders(groupName string) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.contenders(groupName, time.Now())
+}
+
 // contenders returns the number of requests that probably wait for the same upstream of a
 // group as one at this gateway, this one included. Requests at other gateways wait for
 // other candidates: counting each gateway as a contender placed half as many waiting
 // requests in replays, with as many rejected by upstreams. c.mu is held.
 func (c *Controller) contenders(groupName string, now time.Time) float64 {
-	n, h := 0, hash(groupName)
+	n, h := 0, GroupHash(groupName)
 	for _, p := range c.peers {
 		if now.Sub(p.at) > peerTimeout {
 			continue
@@ -85,4 +93,5 @@
 	return 1 + float64(n*candidatesPerRequest)/float64(max(1, c.upstreams[groupName]))
 }
 
-func hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+// GroupHash returns the hash by which reports name a group.
+func GroupHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- a/internal/fggateway/admission.go
+++ b/internal/fggateway/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -11,6 +12,8 @@
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgpath"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
+	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 )
 
 // errPathLost means that a request waits no longer because this gateway does not reach the
@@ -164,6 +167,35 @@
 	return "no-upstream"
 }
 
+// waitingReports returns the groups in which requests wait for room, to report to the other
+// gateways of the zone.
+func (g *Gateway) waitingReports() []*fgwire.GroupWaiting {
+	var reports []*fgwire.GroupWaiting
+	for _, w := range g.admission.Waiting() {
+		reports = append(reports, &fgwire.GroupWaiting{Group: w.Group, Requests: uint32(w.Count)})
+	}
+	return reports
+}
+
+// applyWaitingReports applies the reports of another gateway, if it is of the same zone.
+func (g *Gateway) applyWaitingReports(s *fgwire.GatewayState) {
+	var waiting []fgadmission.GroupWaiting
+	if len(s.GetWaiting()) > 0 && g.inOwnZone(s.GetVm()) {
+		for _, w := range s.GetWaiting() {
+			waiting = append(waiting, fgadmission.GroupWaiting{Group: w.GetGroup(), Count: int(w.GetRequests())})
+		}
+	}
+	g.admission.RecordPeer(s.GetVm(), waiting)
+}
+
+// inOwnZone reports whether a gateway is registered in this one's availability zone.
+func (g *Gateway) inOwnZone(vm string) bool {
+	v, self := g.mirror.View(), g.settings.Self
+	return v != nil && slices.ContainsFunc(v.Members(), func(m fgsteer.MemberSpec) bool {
+		return m.VM == vm && m.Region == self.Region && m.AvailabilityZone == self.AvailabilityZone
+	})
+}
+
 // recordLoad records the load that an upstream tells in a response.
 func (g *Gateway) recordLoad(u *fgaffinity.Upstream, l fgmessage.Load) {
 	total, spec := l.Running+l.Waiting, u.Spec()
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -110,8 +110,10 @@
 	}
 	state.Crashes = g.crashReports()
 	state.Limits = g.limitReports()
+	state.Waiting = g.waitingReports()
 	p := g.updatePlan()
 	g.sendToPeers("state", s, state, p.peers)
+	state.Waiting = nil
 	g.queueForRelay(state)
 }
 
@@ -125,6 +127,7 @@
 	g.limiter.ApplyReport(s.GetVm(), s.GetIncarnation(), s.GetSequence(), uses)
 	g.applyCrashReports(s.GetCrashes())
 	g.applyLimitReports(s.GetVm(), s.GetLimits())
+	g.applyWaitingReports(s)
 	now := time.Now()
 	position := fgstore.Position{Era: s.GetStoreEra(), Revision: s.GetStoreRevision()}
 	g.mirror.RecordResponse(now.Add(-time.Duration(s.GetStoreAgeMs()) * time.Millisecond))
--- a/internal/fggateway/relay.go
+++ b/internal/fggateway/relay.go
@@ -146,6 +146,7 @@
 	s.Relayed = nil
 	if s.GetSequence() > 0 && g.acceptState(s) {
 		g.applyState(s, from)
+		s.Waiting = nil
 		if p != nil && p.layout.InRegion(s.GetVm()) {
 			g.queueForRelay(s)
 		}
