--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -70,6 +70,7 @@
 func (g *Gateway) exchange(ctx context.Context, s *fggossip.Socket) error {
 	last := time.Now()
 	var tracker overloadTracker
+	var room roomTracker
 	for sequence := uint64(1); ; sequence++ {
 		timer := time.NewTimer(g.exchangeInterval())
 		select {
@@ -82,6 +83,7 @@
 		last = time.Now()
 		g.catchUp(ctx)
 		g.logOverloadedRegions(&tracker)
+		g.logRoom(&room)
 	}
 }
 
@@ -124,8 +126,9 @@
 	g.applyCrashReports(s.GetCrashes())
 	g.applyLimitReports(s.GetVm(), s.GetLimits())
 	g.applyLoadReports(s.GetLoads())
-	// A state that is passed on to other zones has no loads.
-	s.Loads = nil
+	g.applyWaitingReports(s)
+	// A state that is passed on to other zones has neither.
+	s.Loads, s.Waiting = nil, nil
 	now := time.Now()
 	position := fgstore.Position{Era: s.GetStoreEra(), Revision: s.GetStoreRevision()}
 	g.mirror.RecordResponse(now.Add(-time.Duration(s.GetStoreAgeMs()) * time.Millisecond))
--- a/internal/fggateway/loads.go
+++ b/internal/fggateway/loads.go
@@ -15,6 +15,8 @@
 	if !meta.HasLoad {
 		return
 	}
+	spec := u.Spec()
+	g.admission.RecordLoad(spec.Group, float64(meta.Load.Running+meta.Load.Waiting)/float64(max(1, spec.Slots)), meta.Load.Slowdown)
 	g.balancer.RecordReport(u, fgaffinity.Report{
 		Load: meta.Load.Running + meta.Load.Waiting, Slowdown: meta.Load.Slowdown,
 		Refused: meta.NotRun, Failed: meta.NotRun || status >= http.StatusInternalServerError,
@@ -22,18 +24,18 @@
 }
 
 // sendOwnState sends this gateway's state to the others. Only those of the own
-// availability zone get the loads, since bytes between zones are expensive.
+// availability zone get the loads and the waiting requests, since bytes between zones are expensive.
 func (g *Gateway) sendOwnState(s *fggossip.Socket, state *fgwire.GatewayState, p *exchangePlan) {
-	loads := g.loadReports()
-	if len(loads) == 0 {
+	loads, waiting := g.loadReports(), g.waitingReports()
+	if len(loads) == 0 && len(waiting) == 0 {
 		g.sendToPeers("state", s, state, p.peers)
 		return
 	}
 	g.sendToPeers("state", s, state, p.otherZones)
 	g.metrics.LoadReports("out", len(loads))
-	state.Loads = loads
+	state.Loads, state.Waiting = loads, waiting
 	g.sendToPeers("state", s, state, p.ownZone)
-	state.Loads = nil
+	state.Loads, state.Waiting = nil, nil
 }
 
 // loadReports returns the loads to report to the gateways of the zone.
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,6 +20,10 @@
 	detours  *prometheus.CounterVec
 	loads    *prometheus.CounterVec
 	placed   *prometheus.CounterVec
+	// The following are of groups about which admission decides.
+	refused *prometheus.CounterVec
+	waiting *prometheus.GaugeVec
+	waits   *prometheus.HistogramVec
 }
 
 // GatewayCallbacks holds functions that return the current values of metrics. They
@@ -37,6 +42,8 @@
 	ConnectionsReused func() int64
 	CallerConnections func() int64
 	DroppedLines      func() int64
+	// GroupRoom returns the free part of the slots by group.
+	GroupRoom func() map[string]float64
 }
 
 // NewGateway returns metrics that start at zero.
@@ -58,7 +65,13 @@
 		placed: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_placements_total",
 			Help: "Upstreams chosen by group: the first candidate for the request, or another one."}, []string{"group", "candidate"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.loads, m.placed,
+	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_admission_refused_total",
+		Help: "Requests refused for lack of room by priority and cause."}, []string{"priority", "cause"})
+	m.waiting = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_admission_waiting",
+		Help: "Requests that wait for room by priority."}, []string{"priority"})
+	m.waits = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "gateway_admission_wait_seconds",
+		Help: "Time that requests waited for room by priority and how the wait ended.", Buckets: latencyBuckets}, []string{"priority", "end"})
+	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.loads, m.placed, m.refused, m.waiting, m.waits, roomCollector{c.GroupRoom},
 		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return c.StoreAge().Seconds() }),
 		gauge("gateway_store_copy_age_seconds", "Time since the copy of the store was last known to hold all changes.", func() float64 { return c.StoreCopyAge().Seconds() }),
 		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(c.StoreRevision()) }),
@@ -123,3 +136,32 @@
 
 // DetourEnded records a request that was sent through another gateway.
 func (m *Gateway) DetourEnded(result string) { m.detours.WithLabelValues(result).Inc() }
+
+// AdmissionRefused records a request that was refused for lack of room.
+func (m *Gateway) AdmissionRefused(priority int, cause string) {
+	m.refused.WithLabelValues(strconv.Itoa(priority), cause).Inc()
+}
+
+// WaitBegan records a request that waits for room. WaitEnded must be called once.
+func (m *Gateway) WaitBegan(priority int) { m.waiting.WithLabelValues(strconv.Itoa(priority)).Inc() }
+
+// WaitEnded records the end of a wait for room.
+func (m *Gateway) WaitEnded(priority int, end string, took time.Duration) {
+	m.waiting.WithLabelValues(strconv.Itoa(priority)).Dec()
+	m.waits.WithLabelValues(strconv.Itoa(priority), end).Observe(took.Seconds())
+}
+
+// roomCollector reads the free part of the slots of each group when it is scraped.
+type roomCollector struct{ room func() map[string]float64 }
+
+var roomDescription = prometheus.NewDesc(namespace+"_gateway_group_room", "Free part of the slots by group, as upstreams reported lately.", []string{"group"}, nil)
+
+// Describe implements prometheus.Collector.
+func (c roomCollector) Describe(ch chan<- *prometheus.Desc) { ch <- roomDescription }
+
+// Collect implements prometheus.Collector.
+func (c roomCollector) Collect(ch chan<- prometheus.Metric) {
+	for group, room := range c.room() {
+		ch <- prometheus.MustNewConstMetric(roomDescription, prometheus.GaugeValue, room, group)
+	}
+}
