Let the settings switch on placement and admission by load for all groups

Cause: upstreams of a deployment may be short of room without telling a slowdown, and routes of different priority may share groups only at times.

--- a/internal/coordination/fgadmission/controller.go
+++ b/internal/coordination/fgadmission/controller.go
@@ -19,6 +19,8 @@
 	mu sync.Mutex
 	// shared holds the groups that routes of different priority share.
 	shared map[string]bool
+	// loadAware means that the Controller decides about all groups.
+	loadAware bool
 	// upstreams holds the number of upstreams of each group.
 	upstreams map[string]int
 	groups    map[string]*group
@@ -57,6 +59,13 @@
 	c.Wake()
 }
 
+// SetLoadAware sets whether the Controller decides about the requests of all groups.
+func (c *Controller) SetLoadAware(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loadAware = on
+}
+
 // RecordLoad records the load per slot and the slowdown that an upstream of a group told.
 // A slowdown of zero means that it told none.
 func (c *Controller) RecordLoad(groupName string, perSlot, slowdown float64) {
@@ -91,7 +100,7 @@
 }
 
 func (c *Controller) enabled(groupName string, now time.Time) bool {
-	if c.shared[groupName] {
+	if c.loadAware || c.shared[groupName] {
 		return true
 	}
 	g := c.groups[groupName]
--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -117,6 +117,8 @@
 	started time.Time
 	state   atomic.Pointer[state]
 	bounds  atomic.Pointer[coldBounds]
+	// loadAware means that upstreams of all groups are chosen by expected time.
+	loadAware atomic.Bool
 	// rtt is the round-trip time to another region in nanoseconds.
 	rtt atomic.Int64
 
@@ -142,6 +144,10 @@
 	b.bounds.Store(&coldBounds{rateFactor: rateFactor, slack: slack})
 }
 
+// SetLoadAware sets whether upstreams of all groups are chosen by expected time, and not
+// only those of groups that tell a slowdown.
+func (b *Balancer) SetLoadAware(on bool) { b.loadAware.Store(on) }
+
 // Update applies a new view. It keeps the state of upstreams that are in both
 // views.
 func (b *Balancer) Update(v *fgsteer.View) {
@@ -251,7 +257,7 @@
 	}
 	wall := time.Now()
 	now := int64(wall.Sub(b.epoch))
-	key, timed := keyHash(c.AffinityKey), g.tellsSlowdown(now)
+	key, timed := keyHash(c.AffinityKey), b.isTimed(g, now)
 	best := b.rank(s, g, c, key, timed, wall)
 	if best.count == 0 && !best.limited {
 		return Placement{}, ErrNoUpstream
@@ -353,7 +359,7 @@
 	u.inFlight.Add(-1)
 	now := int64(time.Since(b.epoch))
 	g := b.state.Load().groups[u.Spec().Group]
-	u.recordResult(r, g != nil && g.tellsSlowdown(now), now)
+	u.recordResult(r, g != nil && b.isTimed(g, now), now)
 }
 
 // RecordCold records that an upstream has reported to be cold for a duration.
--- a/internal/coordination/fgaffinity/loads.go
+++ b/internal/coordination/fgaffinity/loads.go
@@ -132,7 +132,7 @@
 		return
 	}
 	g.recordSlowdown(u, r.Slowdown, now)
-	timed := g.tellsSlowdown(now)
+	timed := b.isTimed(g, now)
 	if timed && r.Refused {
 		// The load does not include the request, which is still counted as in flight.
 		own, after = own-1, r.Load
@@ -212,6 +212,11 @@
 	u.slowdown.record(slowdown, mean, at)
 }
 
+// isTimed reports whether the upstreams of a group are chosen by expected time.
+func (b *Balancer) isTimed(g *group, now int64) bool {
+	return b.loadAware.Load() || g.tellsSlowdown(now)
+}
+
 // tellsSlowdown reports whether upstreams of the group have lately told a slowdown. Their
 // loads are then shared between VMs, and they are chosen by expected time.
 func (g *group) tellsSlowdown(now int64) bool {
--- a/internal/fgcommand/gateway.go
+++ b/internal/fgcommand/gateway.go
@@ -117,7 +117,7 @@
 			LookupLifetime: s.Bounds.LookupLifetime, Grace: s.Bounds.Grace,
 			ColdOver: s.Bounds.ColdOver, ColdSlack: s.Bounds.ColdSlack,
 			RepeatRatio: s.Bounds.RepeatRatio, RepeatExtra: s.Bounds.RepeatExtra, RepeatWindow: s.Bounds.RepeatWindow,
-			RateSlack: s.Bounds.RateSlack,
+			RateSlack: s.Bounds.RateSlack, LoadAware: s.Bounds.LoadAware,
 		},
 	}
 }
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -85,6 +85,10 @@
 	// RateSlack is the number of requests by which a workspace may exceed its rate
 	// in a window.
 	RateSlack int
+	// LoadAware means that requests of all groups are placed by expected time and admitted
+	// by urgency. Without it, only those are whose upstreams tell how slow they are, and
+	// requests of groups that routes of different priority share are admitted by urgency.
+	LoadAware bool
 }
 
 // Options hold a gateway's settings and dependencies.
@@ -227,6 +231,8 @@
 	g.balancer.SetColdBounds(b.ColdOver, b.ColdSlack)
 	g.retryBudget.SetBounds(b.RepeatRatio, b.RepeatExtra, b.RepeatWindow)
 	g.limiter.SetSlack(b.RateSlack)
+	g.balancer.SetLoadAware(b.LoadAware)
+	g.admission.SetLoadAware(b.LoadAware)
 }
 
 // applyView applies a new view.
