Leave the count of preferred candidates to placement

Cause: placement counts the chosen candidate of all groups, so that a second counter of the groups with admission tells nothing more.

Change: the metric gateway_admission_placed_total is gone. What a response tells about an upstream reaches admission through one call after it is classified. The tests of fggateway about admission, and of fgcommand and fgmetrics pass.

--- a/internal/coordination/fgadmission/attempt.go
+++ b/internal/coordination/fgadmission/attempt.go
@@ -14,8 +14,6 @@
 	request    Request
 	// decision is the decision against sending since the last Reset. Nil means none.
 	decision Decision
-	// asked is the number of candidates since then.
-	asked int
 	// expected is the estimate of the upstream that was accepted last.
 	expected fgaffinity.Estimate
 	// sent, blocked and noRoom mean that the request was counted as such, and possible that
@@ -30,13 +28,10 @@
 // Priority returns the priority of the request; 0 is the most urgent.
 func (a *Attempt) Priority() int { return a.request.Priority }
 
-// IsPreferred reports whether the accepted upstream was the first candidate.
-func (a *Attempt) IsPreferred() bool { return a.asked == 1 }
-
 // Reset forgets the decisions of an earlier choice.
 func (a *Attempt) Reset() {
 	if a != nil {
-		a.decision, a.asked = nil, 0
+		a.decision = nil
 	}
 }
 
@@ -50,7 +45,6 @@
 	now := time.Now()
 	c := a.competition(e, now)
 	c.Slots = slots
-	a.asked++
 	switch d := Decide(a.request, e, c, now).(type) {
 	case Send:
 		a.expected = e
--- a/internal/fggateway/admission.go
+++ b/internal/fggateway/admission.go
@@ -11,7 +11,6 @@
 	"github.com/filbertgap/filbertgap/internal/coordination/fgadmission"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgpath"
-	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 )
@@ -84,10 +83,7 @@
 		return u, err
 	}
 	var refused fgadmission.Refuse
-	switch {
-	case err == nil:
-		g.metrics.Placed(q.group, q.attempt.IsPreferred())
-	case errors.As(err, &refused):
+	if errors.As(err, &refused) {
 		q.attempt.Blocked()
 		g.metrics.AdmissionRefused(q.attempt.Priority(), refused.Cause.String())
 	}
@@ -196,15 +192,11 @@
 	})
 }
 
-// recordLoad records the load that an upstream tells in a response.
-func (g *Gateway) recordLoad(u *fgaffinity.Upstream, l fgmessage.Load) {
-	total, spec := l.Running+l.Waiting, u.Spec()
-	g.balancer.RecordLoad(u, total)
-	g.admission.RecordLoad(spec.Group, float64(total)/float64(max(1, spec.Slots)), l.Slowdown)
-}
-
 // recordAdmission records the response of an upstream for the admission of later requests.
-func (q *request) recordAdmission(res *upstreamResponse, started time.Time) {
+func (g *Gateway) recordAdmission(q *request, res *upstreamResponse, started time.Time) {
+	if l := res.meta.Load; res.meta.HasLoad {
+		g.admission.RecordLoad(q.group, float64(l.Running+l.Waiting)/float64(max(1, res.upstream.Spec().Slots)), l.Slowdown)
+	}
 	switch res.result {
 	case fgaffinity.Answered:
 		q.attempt.Responded(time.Since(started))
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -218,7 +218,7 @@
 	}
 	q.sends++
 	if meta.HasLoad {
-		g.recordLoad(u, meta.Load)
+		g.balancer.RecordLoad(u, meta.Load.Running+meta.Load.Waiting)
 	}
 	if meta.ColdDuration > 0 {
 		g.balancer.RecordCold(u, meta.ColdDuration)
@@ -226,7 +226,7 @@
 	g.recordLimit(q, u, meta)
 	wrapped := &upstreamResponse{Response: response, meta: meta, upstream: u, cancel: cancel}
 	refused := g.classify(q, wrapped)
-	q.recordAdmission(wrapped, start)
+	g.recordAdmission(q, wrapped, start)
 	return sendOutcome{response: wrapped, result: wrapped.result, refusal: refused}
 }
 
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -19,7 +19,6 @@
 	peers    *prometheus.CounterVec
 	detours  *prometheus.CounterVec
 	// The following are of groups about which admission decides.
-	placed  *prometheus.CounterVec
 	refused *prometheus.CounterVec
 	waiting *prometheus.GaugeVec
 	waits   *prometheus.HistogramVec
@@ -60,15 +59,13 @@
 		detours: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_detours_total",
 			Help: "Requests sent through other gateways by how they ended."}, []string{"result"}),
 	}
-	m.placed = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_admission_placed_total",
-		Help: "Requests that got an upstream by group and candidate: preferred, other."}, []string{"group", "candidate"})
 	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_admission_refused_total",
 		Help: "Requests refused for lack of room by priority and cause."}, []string{"priority", "cause"})
 	m.waiting = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_admission_waiting",
 		Help: "Requests that wait for room by priority."}, []string{"priority"})
 	m.waits = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "gateway_admission_wait_seconds",
 		Help: "Time that requests waited for room by priority and how the wait ended.", Buckets: latencyBuckets}, []string{"priority", "end"})
-	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.placed, m.refused, m.waiting, m.waits, roomCollector{c.GroupRoom},
+	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.refused, m.waiting, m.waits, roomCollector{c.GroupRoom},
 		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return c.StoreAge().Seconds() }),
 		gauge("gateway_store_copy_age_seconds", "Time since the copy of the store was last known to hold all changes.", func() float64 { return c.StoreCopyAge().Seconds() }),
 		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(c.StoreRevision()) }),
@@ -118,16 +115,6 @@
 // DetourEnded records a request that was sent through another gateway.
 func (m *Gateway) DetourEnded(result string) { m.detours.WithLabelValues(result).Inc() }
 
-// Placed records a request that got an upstream of a group: the preferred candidate or
-// another one.
-func (m *Gateway) Placed(group string, preferred bool) {
-	candidate := "other"
-	if preferred {
-		candidate = "preferred"
-	}
-	m.placed.WithLabelValues(group, candidate).Inc()
-}
-
 // AdmissionRefused records a request that was refused for lack of room.
 func (m *Gateway) AdmissionRefused(priority int, cause string) {
 	m.refused.WithLabelValues(strconv.Itoa(priority), cause).Inc()
