Count what a cold run at another candidate takes from other requests

Cause: a request that its first candidate could not serve in time went to the second one, where its cold run was late too, took three times the slots and replaced a key in the cache. And the mean ratio of measured to expected times, raised by a few very slow runs, made requests seem late that were not.

Change: a run that takes 1.5 times as long as at another candidate is costly. It yields as late ones do, and if it is late it is allowed in idle groups only. The correction of times follows the median. In a group where most requests find room, one that the wait makes late may still wait at the upstream up to the old limit.

--- a/internal/coordination/fgadmission/attempt.go
+++ b/internal/coordination/fgadmission/attempt.go
@@ -14,6 +14,8 @@
 	request    Request
 	// decision is the decision against sending since the last Reset. Nil means none.
 	decision Decision
+	// shortest is the shortest run time of the candidates since then.
+	shortest time.Duration
 	// expected is the estimate of the upstream that was accepted last.
 	expected fgaffinity.Estimate
 	// sent, blocked and noRoom mean that the request was counted as such, and possible that
@@ -31,7 +33,7 @@
 // Reset forgets the decisions of an earlier choice.
 func (a *Attempt) Reset() {
 	if a != nil {
-		a.decision = nil
+		a.decision, a.shortest = nil, 0
 	}
 }
 
@@ -45,6 +47,10 @@
 	now := time.Now()
 	c := a.competition(e, now)
 	c.Slots = slots
+	c.Costly = a.shortest > 0 && e.Run.Seconds() > costlyRatio*a.shortest.Seconds()
+	if a.shortest == 0 || e.Run < a.shortest {
+		a.shortest = e.Run
+	}
 	switch d := Decide(a.request, e, c, now).(type) {
 	case Send:
 		a.expected = e
@@ -162,8 +168,7 @@
 		return
 	}
 	now := time.Now()
-	late := a.possible && a.request.timeLeft(now) < 0
 	a.controller.mu.Lock()
 	defer a.controller.mu.Unlock()
-	a.controller.group(a.request.Group, now).recordResponse(a.request, a.expected, took, late)
+	a.controller.group(a.request.Group, now).recordResponse(a.request, a.expected, took)
 }
--- a/internal/coordination/fgadmission/decision.go
+++ b/internal/coordination/fgadmission/decision.go
@@ -34,6 +34,18 @@
 	// replays, 0.3 left 0.39 of the responses late, and 4 refused more requests for none
 	// more in time.
 	lateMargin = 1.5
+	// calmPressure is the part of requests without room from which on requests that the wait
+	// at an upstream would make late get free slots only.
+	calmPressure = 0.2
+	// A cold run at another candidate takes three times as long as a warm one, and a key's
+	// place in the cache, so that further runs are cold. If it is also late, it is allowed
+	// only up to idleLoad per slot, and only below idlePressure. In a trial with caches that
+	// are nearly full, allowing it below 0.3 per slot reduced the requests in time by a
+	// third at 0.75 of the slots.
+	idlePressure = 0.01
+	idleLoad     = 0.5
+	// costlyRatio is the ratio of run times from which on a run is costly.
+	costlyRatio = 1.5
 	// starvedLateLimit is the lowest limit for such requests of a starved kind.
 	starvedLateLimit = 0.5
 	// overShareMargin is the margin of a workspace that uses more than its share.
@@ -161,6 +173,8 @@
 	// between 0 and 1. They are set for requests that wait.
 	Contenders, Random float64
 	Slots              int
+	// Costly means that another candidate would run the request in much less time.
+	Costly bool
 	// QueueFull means that no further request can wait.
 	QueueFull bool
 }
@@ -175,8 +189,8 @@
 	if !e.Known {
 		limit = min(limit, unknownLoadLimit)
 	}
-	inTime := wait+run <= time.Duration((1-c.timeMargin())*float64(left))
-	if load < limit && (load < 1 || !late && (inTime || !e.Known)) && c.takesPart(limit-load) {
+	inTime := !late && (!e.Known || wait+run <= time.Duration((1-c.timeMargin())*float64(left)))
+	if load < limit && (load < 1 || inTime || load < c.calmLoad()) && c.takesPart(limit-load) {
 		return Send{}
 	}
 	switch {
@@ -217,7 +231,15 @@
 	if c.OverShare && !c.Starved {
 		limit = max(min(limit, lessUrgentLoad)-overShareMargin, minOverShareLimit)
 	}
-	if late {
+	switch {
+	case c.Costly && late:
+		if c.Pressure < idlePressure {
+			return idleLoad
+		}
+		return 0
+	case c.Costly:
+		limit = min(limit, 1) - lateMargin*c.Pressure
+	case late:
 		limit = min(limit, 1) - lateMargin*c.Pressure*c.InTimeDemand
 		if c.Starved {
 			limit = max(limit, starvedLateLimit)
@@ -226,6 +248,12 @@
 	return max(limit, minLoadLimit)
 }
 
+// calmLoad returns the load per slot below which a request may go to a candidate although the
+// wait there makes it late: a free slot, and the old limit in a group where all find room.
+func (c Competition) calmLoad() float64 {
+	return 1 + (unknownLoadLimit-1)*(1-min(1, c.Pressure/calmPressure))
+}
+
 func (c Competition) timeMargin() float64 {
 	if c.Starved {
 		return 0
--- a/internal/coordination/fgadmission/decision_test.go
+++ b/internal/coordination/fgadmission/decision_test.go
@@ -25,6 +25,8 @@
 	refusing.Unserved = 0.8
 	vain := shared
 	vain.WaitSuccess = 0.1
+	costly, costlyShared := Competition{Costly: true, RoomRate: 20}, shared
+	costlyShared.Costly, costlyShared.UrgentDemand = true, 0
 	hot := Competition{OverShare: true, RoomRate: 20}
 	alone := Competition{RoomRate: 20}
 	tests := []struct {
@@ -48,6 +50,11 @@
 		{"room comes too late", 0, 0.9, false, crowded, Refuse{Cause: NoRoom, RetryAfter: 500 * time.Millisecond}},
 		{"most of the kind is refused", 0, 0.9, false, refusing, Refuse{Cause: NoRoom, RetryAfter: minRetryAfter}},
 		{"most waits are in vain", 0, 0.95, false, vain, Refuse{Cause: NoRoom, RetryAfter: minRetryAfter}},
+		{"wait makes it late, others find room", 180 * time.Millisecond, 1.4, false, alone, Send{}},
+		{"cold run in a free slot", 0, 0.9, false, costly, Send{}},
+		{"cold run leaves slots to others", 0, 0.75, false, costlyShared, Wait{Longest: 300 * time.Millisecond}},
+		{"late cold run in an idle group", 350 * time.Millisecond, 0.4, false, costly, Send{}},
+		{"late cold run", 350 * time.Millisecond, 0.1, false, costlyShared, Refuse{Cause: TooLate, RetryAfter: minRetryAfter}},
 		{"queue is full", 0, 0.9, false, full, Refuse{Cause: QueueFull, RetryAfter: minRetryAfter}},
 		{"old limit without a known load", 0, 1.4, true, alone, Send{}},
 		{"no wait without a known load", 0, 1.5, true, alone, Refuse{Cause: NoRoom, RetryAfter: minRetryAfter}},
--- a/internal/coordination/fgadmission/demand.go
+++ b/internal/coordination/fgadmission/demand.go
@@ -41,9 +41,9 @@
 	minFullyServed = 0.97
 	// shareInterval is how often shares are computed.
 	shareInterval = 100 * time.Millisecond
-	// correctionWeight is the weight of the latest response in a route's correction, which
-	// is between minCorrection and maxCorrection.
-	correctionWeight             = 1.0 / 32
+	// correctionStep is the relative step by which a response changes its route's
+	// correction, which is between minCorrection and maxCorrection.
+	correctionStep               = 1.0 / 32
 	minCorrection, maxCorrection = 0.4, 2.5
 )
 
@@ -75,10 +75,6 @@
 	shared time.Time
 }
 
-// correction is the ratio of measured to expected times of a route, and the part of late
-// responses among those that were expected in time.
-type correction struct{ ratio, late float64 }
-
 // group counts the recent requests of a group at one gateway.
 type group struct {
 	since time.Time
@@ -88,15 +84,16 @@
 	// load and reports are the sum and number of reported loads per slot.
 	load, reports decayed
 	slowdownTold  time.Time
-	corrections   map[string]*correction
-	queue         queue
+	// corrections holds the ratio of measured to expected times by route.
+	corrections map[string]float64
+	queue       queue
 	// waitPlaced and waitRefused count the requests that waited and then were placed, or
 	// refused. noRoom counts those that found no room at first.
 	waitPlaced, waitRefused, noRoom decayed
 }
 
 func newGroup(now time.Time) *group {
-	return &group{since: now, kinds: map[int]*kind{}, corrections: map[string]*correction{}}
+	return &group{since: now, kinds: map[int]*kind{}, corrections: map[string]float64{}}
 }
 
 // kind returns the counts of a priority.
@@ -174,9 +171,7 @@
 	if placed, refused := g.waitPlaced.get(now, recentHalfLife), g.waitRefused.get(now, recentHalfLife); placed+refused >= minDemand {
 		c.WaitSuccess = placed / (placed + refused)
 	}
-	if x := g.corrections[r.Route]; x != nil {
-		c.Correction = x.ratio * (1 + x.late)
-	}
+	c.Correction = g.corrections[r.Route]
 	return c
 }
 
@@ -254,25 +249,25 @@
 	}
 }
 
-// recordResponse compares the measured time of a response with the expected one. late
-// means that the response is late although it could be in time.
-func (g *group) recordResponse(r Request, e fgaffinity.Estimate, took time.Duration, late bool) {
+// recordResponse compares the measured time of a response with the expected one. The ratio
+// follows the median, since a few runs that take many times as long say nothing about the
+// others: with the mean, most requests seemed to be late where runs are slow at random.
+func (g *group) recordResponse(r Request, e fgaffinity.Estimate, took time.Duration) {
 	expected := e.Total()
 	if expected <= 0 {
 		return
 	}
-	x := g.corrections[r.Route]
-	if x == nil {
-		if len(g.corrections) >= maxRoutes {
-			return
-		}
-		x = &correction{ratio: 1}
-		g.corrections[r.Route] = x
+	ratio, ok := g.corrections[r.Route]
+	switch {
+	case !ok && len(g.corrections) >= maxRoutes:
+		return
+	case !ok:
+		ratio = 1
 	}
-	ratio, missed := min(max(took.Seconds()/expected.Seconds(), minCorrection), maxCorrection), 0.0
-	if late {
-		missed = 1
+	if took.Seconds() > ratio*expected.Seconds() {
+		ratio *= 1 + correctionStep
+	} else {
+		ratio /= 1 + correctionStep
 	}
-	x.ratio += correctionWeight * (ratio - x.ratio)
-	x.late += correctionWeight * (missed - x.late)
+	g.corrections[r.Route] = min(max(ratio, minCorrection), maxCorrection)
 }
