Keep the rankings of keys in large groups

Cause: at 1,200 upstreams computing the ranking of a key takes most of the time of a choice, and a hot key needs two. Four hashes are compared at once. Both give the same candidates.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -71,6 +71,7 @@
 	// proximity.
 	classes []rankClass
 	nearby  [proximities][]*Upstream
+	cache   *rankCache
 }
 
 // groupStats is what was measured of a group. It is kept when the view changes.
@@ -191,6 +192,7 @@
 				s.reporters[uint32(u.instance)] = u
 			}
 		}
+		g.cache = newRankCache(g.classes, len(g.upstreams))
 		s.groups[name] = g
 	}
 	b.upstreams = known
--- a/internal/coordination/fgaffinity/balancer_test.go
+++ b/internal/coordination/fgaffinity/balancer_test.go
@@ -504,18 +504,59 @@
 	}
 }
 
+// Guards against kept rankings that differ from computed ones, so that gateways choose
+// different upstreams for a key, also while upstreams are draining or avoided.
+func TestKeptRankingsAreTheComputedOnes(t *testing.T) {
+	draining := func(i int, u *fgsteer.UpstreamSpec) { u.Draining = i%3 == 0 }
+	cached, computed := balancer("vm-0", view(upstreams(minCachedGroup, draining))), balancer("vm-0", view(upstreams(minCachedGroup, draining)))
+	if cached.state.Load().groups["g"].cache == nil {
+		t.Fatal("no rankings are kept")
+	}
+	computed.state.Load().groups["g"].cache = nil
+	for i := range 3000 {
+		key := fmt.Sprint(i % 700)
+		x, y := choose(t, cached, Criteria{AffinityKey: key}), choose(t, computed, Criteria{AffinityKey: key})
+		if x.Spec().ID != y.Spec().ID {
+			t.Errorf("key %s is assigned to %s and %s", key, x.Spec().ID, y.Spec().ID)
+		}
+		result := []Result{Answered, Unreached}[i%2]
+		cached.Done(x, result)
+		computed.Done(y, result)
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
-	for _, n := range []int{20, 44, 1200} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			l := balancer("vm-0", view(upstreams(n), members(7)))
-			b.ReportAllocs()
-			for b.Loop() {
-				u, err := l.Choose(Criteria{Group: "g", AffinityKey: "o", MaxLoadPerSlot: testMaxLoad})
-				if err != nil {
-					b.Fatal(err)
+	for _, n := range []int{20, 200, 1200} {
+		for _, tt := range []struct {
+			name  string
+			timed bool
+			keys  int
+		}{{"one key", false, 1}, {"many keys", false, 4096}, {"hot key by time", true, 1}, {"many keys by time", true, 4096}, {"no key by time", true, 0}} {
+			b.Run(fmt.Sprintf("%d/%s", n, tt.name), func(b *testing.B) {
+				l := balancer("vm-0", view(upstreams(n), members(7)))
+				if tt.timed {
+					for _, u := range l.state.Load().groups["g"].upstreams {
+						l.RecordReport(u, Report{Slowdown: 1})
+					}
 				}
-				l.Done(u, Answered)
-			}
-		})
+				keys := []string{""}
+				for i := range tt.keys {
+					keys = append(keys, fmt.Sprint("key-", i))
+				}
+				if tt.keys > 0 {
+					keys = keys[1:]
+				}
+				i := 0
+				b.ReportAllocs()
+				for b.Loop() {
+					i++
+					u, err := l.Choose(Criteria{Group: "g", AffinityKey: keys[i%len(keys)], MaxLoadPerSlot: testMaxLoad})
+					if err != nil {
+						b.Fatal(err)
+					}
+					l.Done(u, Answered)
+				}
+			})
+		}
 	}
 }
--- a/internal/coordination/fgaffinity/rank.go
+++ b/internal/coordination/fgaffinity/rank.go
@@ -136,7 +136,10 @@
 		if len(r.criteria.Regions) > 0 && !slices.Contains(r.criteria.Regions, class.region) || r.region != "" && class.region != r.region {
 			continue
 		}
-		top := r.highest(class, n)
+		top, ok := r.cached(i, n)
+		if !ok {
+			top = r.highest(class, n)
+		}
 		weight := 1.0
 		if len(r.criteria.Regions) == 0 {
 			weight = class.weight.weight()
@@ -170,9 +173,9 @@
 func (r *ranking) highest(class *rankClass, n int) highestHashes {
 	var top highestHashes
 	threshold := uint64(0)
-	for i, hash := range class.hashes {
-		h := fmix64(r.key ^ hash)
-		if h <= threshold || !r.usable(class.upstreams[i]) {
+	for i := nextAbove(class.hashes, 0, r.key, threshold); i < len(class.hashes); i = nextAbove(class.hashes, i+1, r.key, threshold) {
+		h := fmix64(r.key ^ class.hashes[i])
+		if !r.usable(class.upstreams[i]) {
 			continue
 		}
 		top.count = min(top.count+1, n)
@@ -207,6 +210,32 @@
 	}
 }
 
+// nextAbove returns the index, from start on, of the next hash that exceeds the threshold
+// when it is mixed with a key, or the number of hashes. Four at a time are compared at once.
+func nextAbove(hashes []uint64, start int, key, threshold uint64) int {
+	i := start
+	for ; i+4 <= len(hashes); i += 4 {
+		four := hashes[i : i+4 : i+4]
+		a, b, c, d := fmix64(key^four[0]), fmix64(key^four[1]), fmix64(key^four[2]), fmix64(key^four[3])
+		if max(a, b, c, d) <= threshold {
+			continue
+		}
+		switch {
+		case a > threshold:
+			return i
+		case b > threshold:
+			return i + 1
+		case c > threshold:
+			return i + 2
+		default:
+			return i + 3
+		}
+	}
+	for ; i < len(hashes) && fmix64(key^hashes[i]) <= threshold; i++ {
+	}
+	return i
+}
+
 // byLoad ranks the upstreams by their load per slot.
 func (r *ranking) byLoad() {
 	for _, u := range r.group.upstreams {
