--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -264,7 +264,7 @@
 	}
 	preferred := best.ranked[0].upstream
 	if timed && c.AffinityKey != "" {
-		preferFaster(&best, &expected, c.Objective)
+		preferFaster(&best, &expected, c.Objective, now)
 	}
 	hasFree := false
 	for i, ranked := range best.ranked[:best.count] {
@@ -273,7 +273,7 @@
 		if crosses && !g.crossings.allowed() {
 			continue
 		}
-		if i == maxCandidates && (hasFree || u.pressed() && expected[i].class == coldRun) {
+		if i == maxCandidates && (hasFree || u.pressed(now) && expected[i].class == coldRun) {
 			break
 		}
 		hasFree = hasFree || expected[i].LoadPerSlot < 1
@@ -308,8 +308,8 @@
 
 // preferFaster puts the second candidate of a key first if its expected time is better by
 // more than the margin.
-func preferFaster(c *candidates, expected *[maxTimedCandidates]Estimate, objective time.Duration) {
-	if c.count < 2 || !expected[1].worthMoving(expected[0], objective, c.ranked[1].upstream.pressed()) {
+func preferFaster(c *candidates, expected *[maxTimedCandidates]Estimate, objective time.Duration, now int64) {
+	if c.count < 2 || !expected[1].worthMoving(expected[0], objective, c.ranked[1].upstream.pressed(now)) {
 		return
 	}
 	c.ranked[0], c.ranked[1] = c.ranked[1], c.ranked[0]
--- a/internal/coordination/fgaffinity/balancer_test.go
+++ b/internal/coordination/fgaffinity/balancer_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"math"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -504,25 +506,68 @@
 	}
 }
 
+// Guards against choices that differ from those of the previous version where no slowdown is
+// told: the two upstreams with the highest scores of all, the second if the first is full.
+func TestCandidatesHaveTheHighestScores(t *testing.T) {
+	uneven := func(i int, u *fgsteer.UpstreamSpec) { u.Slots, u.Draining = 1+i%3, i%7 == 0 }
+	b := New(Options{VM: "vm-0", Region: "east"})
+	b.Update(view(upstreams(60, uneven)))
+	b.SetRegionRTT(110 * time.Millisecond)
+	g := b.state.Load().groups["g"]
+	g.regionWeights.regions["east"].weightBits.Store(math.Float64bits(0.4))
+	for i := range 2000 {
+		key := fmt.Sprint(i)
+		var want [2]*Upstream
+		var scores [2]float64
+		for _, u := range g.upstreams {
+			if u.Spec().Draining {
+				continue
+			}
+			unit := (float64(fmix64(keyHash(key)^u.hash)>>11) + 0.5) / (1 << 53)
+			score := -float64(u.Spec().Slots) / math.Log(unit)
+			if u.Spec().Region == "east" {
+				score *= 0.4 * (1 + sameRegionFactor*0.11/0.4)
+			}
+			switch {
+			case score > scores[0]:
+				want, scores = [2]*Upstream{u, want[0]}, [2]float64{score, scores[0]}
+			case score > scores[1]:
+				want[1], scores[1] = u, score
+			}
+		}
+		var got []*Upstream
+		_, err := b.Choose(Criteria{Group: "g", AffinityKey: key, Objective: 400 * time.Millisecond, Accept: func(u *Upstream, _ Estimate) bool {
+			got = append(got, u)
+			return false
+		}})
+		if !errors.Is(err, ErrFull) || !slices.Equal(got, want[:]) {
+			t.Fatalf("key %s: got %d candidates, %v, want the two with the highest scores", key, len(got), err)
+		}
+	}
+}
+
 // Guards against kept rankings that differ from computed ones, so that gateways choose
 // different upstreams for a key, also while upstreams are draining or avoided.
 func TestKeptRankingsAreTheComputedOnes(t *testing.T) {
-	draining := func(i int, u *fgsteer.UpstreamSpec) { u.Draining = i%3 == 0 }
-	cached, computed := balancer("vm-0", view(upstreams(minCachedGroup, draining))), balancer("vm-0", view(upstreams(minCachedGroup, draining)))
-	if cached.state.Load().groups["g"].cache == nil {
-		t.Fatal("no rankings are kept")
-	}
-	computed.state.Load().groups["g"].cache = nil
-	for i := range 3000 {
-		key := fmt.Sprint(i % 700)
-		x, y := choose(t, cached, Criteria{AffinityKey: key}), choose(t, computed, Criteria{AffinityKey: key})
-		if x.Spec().ID != y.Spec().ID {
-			t.Errorf("key %s is assigned to %s and %s", key, x.Spec().ID, y.Spec().ID)
+	// Avoided upstreams are avoided for the same time on both.
+	synctest.Test(t, func(t *testing.T) {
+		draining := func(i int, u *fgsteer.UpstreamSpec) { u.Draining = i%3 == 0 }
+		cached, computed := balancer("vm-0", view(upstreams(minCachedGroup, draining))), balancer("vm-0", view(upstreams(minCachedGroup, draining)))
+		if cached.state.Load().groups["g"].cache == nil {
+			t.Fatal("no rankings are kept")
 		}
-		result := []Result{Answered, Unreached}[i%2]
-		cached.Done(x, result)
-		computed.Done(y, result)
-	}
+		computed.state.Load().groups["g"].cache = nil
+		for i := range 3000 {
+			key := fmt.Sprint(i % 700)
+			x, y := choose(t, cached, Criteria{AffinityKey: key}), choose(t, computed, Criteria{AffinityKey: key})
+			if x.Spec().ID != y.Spec().ID {
+				t.Errorf("key %s is assigned to %s and %s", key, x.Spec().ID, y.Spec().ID)
+			}
+			result := []Result{Answered, Unreached}[i%2]
+			cached.Done(x, result)
+			computed.Done(y, result)
+		}
+	})
 }
 
 func BenchmarkChoose(b *testing.B) {
--- a/internal/coordination/fgaffinity/loads_test.go
+++ b/internal/coordination/fgaffinity/loads_test.go
@@ -71,6 +71,29 @@
 	})
 }
 
+// Guards against loads that keep requests away for long after the reports have stopped.
+func TestLoadsAgeOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balancer("vm-0", view(upstreams(8)))
+		g := b.state.Load().groups["g"]
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for _, u := range g.upstreams {
+				b.RecordReport(u, Report{Load: 12, Slowdown: 1})
+			}
+		}
+		u := g.upstreams[0]
+		time.Sleep(3 * loadHalfLife)
+		if e := b.estimate(g, u, keylessRun, time.Now()); e.LoadPerSlot < 1.5 || !u.pressed(int64(time.Since(b.epoch))) {
+			t.Errorf("after 3 s, the load of the region is not expected: %+v", e)
+		}
+		time.Sleep(40 * time.Second)
+		if e := b.estimate(g, u, keylessRun, time.Now()); e.LoadPerSlot > 0.1 || u.pressed(int64(time.Since(b.epoch))) {
+			t.Errorf("after 40 s: %+v", e)
+		}
+	})
+}
+
 // Guards against states that exceed a datagram, or that leave out the newest loads, and
 // against loads in the states of deployments whose upstreams tell no slowdown.
 func TestLoadReportsAreBounded(t *testing.T) {
--- a/internal/coordination/fgaffinity/regionweights.go
+++ b/internal/coordination/fgaffinity/regionweights.go
@@ -63,14 +63,17 @@
 	// weightBits is the factor for the scores of the region's upstreams, as the bits
 	// of a float64.
 	weightBits atomic.Uint64
-	// meanBits is the mean load per slot, as the bits of a float64. It is 0 unless
-	// upstreams tell a slowdown.
+	// meanBits is the mean load per slot at the time meanAt, as the bits of a float64. It is
+	// 0 unless upstreams tell a slowdown.
 	meanBits atomic.Uint64
+	meanAt   atomic.Int64
 }
 
 // mean returns the mean load per slot of the region where upstreams are chosen by expected
-// time, and otherwise 0.
-func (r *regionWeight) mean() float64 { return math.Float64frombits(r.meanBits.Load()) }
+// time, and otherwise 0. It decays while no upstream reports.
+func (r *regionWeight) mean(now int64) float64 {
+	return math.Float64frombits(r.meanBits.Load()) * math.Exp(-float64(max(0, now-r.meanAt.Load()))/float64(loadDecay))
+}
 
 // weight returns the factor for the scores of the region's upstreams.
 func (r *regionWeight) weight() float64 { return math.Float64frombits(r.weightBits.Load()) }
@@ -148,6 +151,7 @@
 	w.updateWeights(now, time.Duration(elapsed), timedSpill)
 	for _, r := range w.regions {
 		r.meanBits.Store(math.Float64bits(r.decayedAverage(now)))
+		r.meanAt.Store(now)
 	}
 }
 
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -139,13 +139,13 @@
 // unknownLoad returns what the decayed report leaves open, if the upstream is loaded as the
 // rest of its region.
 func (u *Upstream) unknownLoad(now int64) float64 {
-	mean := u.region.Load().mean() * float64(u.Spec().Slots)
+	mean := u.region.Load().mean(now) * float64(u.Spec().Slots)
 	return (1 - u.freshness(now)) * max(0, mean-float64(u.inFlight.Load()))
 }
 
 // pressed reports whether the upstream's region is loaded, so that cold runs there take the
 // capacity of other requests.
-func (u *Upstream) pressed() bool { return u.region.Load().mean() > pressedLoad }
+func (u *Upstream) pressed(now int64) bool { return u.region.Load().mean(now) > pressedLoad }
 
 // loadPerSlot returns the estimated load divided by the upstream's slots.
 func (u *Upstream) loadPerSlot(now int64) float64 { return u.load(now) / float64(u.Spec().Slots) }
