Search the highest hashes of a key from a likely threshold

Cause: a choice for a key without a kept ranking took 3.4 to 4.6 us at 1,200 upstreams, half of it for hashes that later ones replaced. Change: the search begins at a threshold that about nine hashes of a class exceed, and is repeated without it if fewer than four do. A gateway's test reads the load from a response.

--- a/internal/coordination/fgaffinity/rankcache.go
+++ b/internal/coordination/fgaffinity/rankcache.go
@@ -1,6 +1,9 @@
 package fgaffinity
 
-import "sync"
+import (
+	"math"
+	"sync"
+)
 
 const (
 	// minCachedGroup is the number of upstreams from which the rankings of keys are kept.
@@ -12,6 +15,9 @@
 	// cachedDepth is how many upstreams of each class are kept. If fewer of them are usable
 	// than needed, the ranking is computed.
 	cachedDepth = 4
+	// expectedAbove is how many hashes of a class are expected above the first threshold of
+	// a search. In 2 of 100 searches they are fewer than cachedDepth, and it is repeated.
+	expectedAbove = 9
 )
 
 // rankCache keeps the upstreams of each class with the highest hashes for some keys,
@@ -62,8 +68,17 @@
 
 // highestOf returns the highest hashes of a class for a key.
 func highestOf(hashes []uint64, key uint64) cachedTop {
+	if n := uint64(len(hashes)); n > 2*expectedAbove {
+		if top := highestAbove(hashes, key, math.MaxUint64-math.MaxUint64/n*expectedAbove); top.count == cachedDepth {
+			return top
+		}
+	}
+	return highestAbove(hashes, key, 0)
+}
+
+// highestAbove returns the highest hashes of a class for a key that exceed a threshold.
+func highestAbove(hashes []uint64, key, threshold uint64) cachedTop {
 	var top cachedTop
-	threshold := uint64(0)
 	for i := nextAbove(hashes, 0, key, threshold); i < len(hashes); i = nextAbove(hashes, i+1, key, threshold) {
 		h := fmix64(key ^ hashes[i])
 		top.count = min(top.count+1, cachedDepth)
--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -48,7 +48,10 @@
 
 func (testDialect) ReadResponse(r *http.Response) fgmessage.Response {
 	limit, err := strconv.ParseFloat(r.Header.Get("T-Limit"), 64)
+	var load fgmessage.Load
+	_, loadErr := fmt.Sscan(r.Header.Get("T-Load"), &load.Running, &load.Waiting, &load.Slots, &load.Slowdown)
 	return fgmessage.Response{
+		Load: load, HasLoad: loadErr == nil,
 		AttemptID: r.Header.Get("T-Id"), Signed: r.Header.Get("T-Signed") != "", NotRun: r.Header.Get("T-Not-Run") != "",
 		Misdirected: r.StatusCode == http.StatusMisdirectedRequest, Limit: limit, HasLimit: err == nil,
 	}
--- a/internal/fggateway/loads_test.go
+++ b/internal/fggateway/loads_test.go
@@ -13,7 +13,6 @@
 	"google.golang.org/protobuf/types/descriptorpb"
 	"google.golang.org/protobuf/types/dynamicpb"
 
-	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 )
 
@@ -25,14 +24,15 @@
 	near, far := peers["east-0"], peers["east-1"]
 	near.spec.AvailabilityZone = ""
 	env.put("member/east-0", near.spec)
-	env.upstream("u1", respond)
+	env.upstream("u1", func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("T-Load", "1 2 4 2.5")
+		respond(rw, r)
+	})
 	g := env.gateway("vm-1", 1)
 	env.eventually("the gateways are known", func() bool { return len(g.mirror.View().Members()) == 7 })
-	u, err := g.balancer.Choose(fgaffinity.Criteria{Group: "g", MaxLoadPerSlot: 1})
-	if err != nil {
-		t.Fatal(err)
+	if res := g.mustCall(t, http.MethodGet, "/read/x"); res.status != http.StatusOK {
+		t.Errorf("got %+v", res)
 	}
-	g.balancer.RecordReport(u, fgaffinity.Report{Load: 3, Slowdown: 2.5})
 	loads := 0
 	for _, s := range near.receive(t, time.Second) {
 		for _, l := range s.GetLoads() {
@@ -62,9 +62,6 @@
 	if text := g.scrape(t); !strings.Contains(text, `gateway_load_reports_total{direction="out"} 1`+"\n") {
 		t.Error("the metrics do not count the load")
 	}
-	if res := g.mustCall(t, http.MethodGet, "/read/x"); res.status != http.StatusOK {
-		t.Errorf("got %+v", res)
-	}
 	if text := g.scrape(t); !strings.Contains(text, `gateway_placements_total{candidate="preferred",group="g"} 1`+"\n") {
 		t.Error("the metrics do not count the placement")
 	}
