Give zones that come back their keys gradually

Cause: when the entries of a zone come back after an outage of the store, or a zone is no longer drained, all keys whose first candidates are there change region at once. Change: where upstreams are chosen by expected time, the weight of a region that got more usable slots falls in proportion and rises again as fast as weights change.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -183,7 +183,7 @@
 			}
 			u.spec.Store(spec)
 			known[id] = u
-			u.region.Store(g.regionWeights.addUpstream(spec.Region, spec.Slots))
+			u.region.Store(g.regionWeights.addUpstream(spec.Region, spec.Slots, !spec.Draining && !v.Drained(spec.AvailabilityZone)))
 			g.addUpstream(u, b.options)
 			s.instances[u.instance] = u
 			if _, shared := s.reporters[uint32(u.instance)]; shared {
@@ -192,6 +192,9 @@
 				s.reporters[uint32(u.instance)] = u
 			}
 		}
+		if g.tellsSlowdown(int64(now.Sub(b.epoch))) {
+			g.regionWeights.admitSlots()
+		}
 		g.cache = newRankCache(g.classes, len(g.upstreams))
 		s.groups[name] = g
 	}
--- a/internal/coordination/fgaffinity/load_test.go
+++ b/internal/coordination/fgaffinity/load_test.go
@@ -579,29 +579,47 @@
 	}
 }
 
-// Guards against keys that all change region when a store that was silent names new
-// processes of all upstreams, of whose loads nothing is known.
-func TestUnevenZonesWhileTheStoreIsSilent(t *testing.T) {
-	d := unevenDeployment()
-	updated := time.Duration(0)
-	d.beforeRequest = func(fleet []*Balancer, v fgsteer.ViewSpec, elapsed time.Duration) {
-		silent := elapsed > 14*time.Second && elapsed < 26*time.Second
-		if silent || elapsed < updated {
-			return
-		}
-		updated = elapsed + time.Second
-		if elapsed >= 26*time.Second {
-			v.Upstreams = slices.Clone(v.Upstreams)
-			for i := range v.Upstreams {
-				v.Upstreams[i].Started = time.Unix(1, 0)
-			}
-		}
-		for _, b := range fleet {
-			b.Update(fgsteer.NewView(v))
+// Guards against requests that all change region when a store that was silent has lost the
+// entries of a zone, which come back at once when their owners register again, as new
+// processes or the same ones, and when a zone is no longer drained.
+func TestZonesComeBackGradually(t *testing.T) {
+	for _, zone := range []string{"small-a", "middle-a", "large-a"} {
+		for _, how := range []string{"registered again", "restarted", "drained"} {
+			t.Run(zone+" "+how, func(t *testing.T) {
+				const lost, back = 18 * time.Second, 26 * time.Second
+				d := unevenDeployment()
+				last := 0
+				d.beforeRequest = func(fleet []*Balancer, v fgsteer.ViewSpec, elapsed time.Duration) {
+					phase := 1
+					switch {
+					case elapsed > back:
+						phase = 3
+					case elapsed > lost:
+						phase = 2
+					}
+					if phase == last {
+						return
+					}
+					last = phase
+					v.Upstreams = slices.Clone(v.Upstreams)
+					if phase == 2 && how == "drained" {
+						v.Drained = []string{zone}
+					} else if phase == 2 {
+						v.Upstreams = slices.DeleteFunc(v.Upstreams, func(u fgsteer.UpstreamSpec) bool { return u.AvailabilityZone == zone })
+					} else if phase == 3 && how == "restarted" {
+						for i := range v.Upstreams {
+							v.Upstreams[i].Started = time.Unix(1, 0)
+						}
+					}
+					for _, b := range fleet {
+						b.Update(fgsteer.NewView(v))
+					}
+				}
+				r := checkSimulation(t, 0.85, d, 46*time.Second, lost+4*time.Second)
+				r.checkShift(t)
+			})
 		}
 	}
-	r := checkSimulation(t, 0.85, d, 46*time.Second, 10*time.Second)
-	r.checkShift(t)
 }
 
 // slowStart doubles the run times in the first three seconds, while the upstreams
@@ -617,7 +635,7 @@
 // requests, the bound that operators declare, to other regions within two seconds.
 func TestRegionWeightsChangeSlowly(t *testing.T) {
 	var w regionWeights
-	regions := []*regionWeight{w.addUpstream("a", 100), w.addUpstream("b", 100)}
+	regions := []*regionWeight{w.addUpstream("a", 100, true), w.addUpstream("b", 100, true)}
 	// share returns the fraction of the requests that run in the first region.
 	share := func() float64 { return regions[0].weight() / (regions[0].weight() + regions[1].weight()) }
 	const step = 50 * time.Millisecond
--- a/internal/coordination/fgaffinity/regionweights.go
+++ b/internal/coordination/fgaffinity/regionweights.go
@@ -55,7 +55,9 @@
 type regionWeight struct {
 	average float64
 	lastAdd int64
-	slots   int
+	// slots are those of the view, usable those of upstreams that are not draining, and
+	// lastUsable the ones before the view.
+	slots, usable, lastUsable int
 	// load and reporting are the requests at upstreams that reported lately, and their
 	// slots.
 	load      float64
@@ -79,7 +81,7 @@
 func (r *regionWeight) weight() float64 { return math.Float64frombits(r.weightBits.Load()) }
 
 // addUpstream adds an upstream's slots to a region and returns the region.
-func (w *regionWeights) addUpstream(name string, slots int) *regionWeight {
+func (w *regionWeights) addUpstream(name string, slots int, usable bool) *regionWeight {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r := w.regions[name]
@@ -92,6 +94,9 @@
 		w.regions[name] = r
 	}
 	r.slots += slots
+	if usable {
+		r.usable += slots
+	}
 	return r
 }
 
@@ -100,7 +105,27 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, r := range w.regions {
-		r.slots = 0
+		r.lastUsable = r.usable
+		r.slots, r.usable = 0, 0
+	}
+}
+
+// admitSlots lowers the weights of regions that have got more usable slots, so that their
+// part of the keys stays the same at first. It rises as fast as weights change. All keys of a
+// zone that is no longer drained, or whose entries come back to the store, would else change
+// region at once.
+func (w *regionWeights) admitSlots() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := 0
+	for _, r := range w.regions {
+		before += r.lastUsable
+	}
+	for _, r := range w.regions {
+		if before > 0 && r.usable > r.lastUsable {
+			weight := r.weight() * float64(r.lastUsable) / float64(r.usable)
+			r.weightBits.Store(math.Float64bits(max(minRegionWeight, weight)))
+		}
 	}
 }
 
