--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -71,6 +71,7 @@
 	// proximity.
 	classes []rankClass
 	nearby  [proximities][]*Upstream
+	cache   *rankCache
 }
 
 // groupStats is what was measured of a group. It is kept when the view changes.
@@ -188,7 +189,7 @@
 			}
 			u.spec.Store(spec)
 			known[id] = u
-			u.region.Store(g.regionWeights.addUpstream(spec.Region, spec.Slots))
+			u.region.Store(g.regionWeights.addUpstream(spec.Region, spec.Slots, !spec.Draining && !v.Drained(spec.AvailabilityZone)))
 			g.addUpstream(u, b.options)
 			s.instances[u.instance] = u
 			if _, shared := s.reporters[uint32(u.instance)]; shared {
@@ -197,6 +198,10 @@
 				s.reporters[uint32(u.instance)] = u
 			}
 		}
+		if g.tellsSlowdown(int64(now.Sub(b.epoch))) {
+			g.regionWeights.admitSlots()
+		}
+		g.cache = newRankCache(g.classes, len(g.upstreams))
 		s.groups[name] = g
 	}
 	b.upstreams = known
@@ -268,7 +273,7 @@
 	}
 	preferred := best.ranked[0].upstream
 	if timed && c.AffinityKey != "" {
-		preferFaster(&best, &expected, c.Objective)
+		preferFaster(&best, &expected, c.Objective, now)
 	}
 	hasFree := false
 	for i, ranked := range best.ranked[:best.count] {
@@ -277,7 +282,7 @@
 		if crosses && !g.crossings.allowed() {
 			continue
 		}
-		if i == maxCandidates && (hasFree || u.pressed() && expected[i].class == coldRun) {
+		if i == maxCandidates && (hasFree || u.pressed(now) && expected[i].class == coldRun) {
 			break
 		}
 		hasFree = hasFree || expected[i].LoadPerSlot < 1
@@ -312,8 +317,8 @@
 
 // preferFaster puts the second candidate of a key first if its expected time is better by
 // more than the margin.
-func preferFaster(c *candidates, expected *[maxTimedCandidates]Estimate, objective time.Duration) {
-	if c.count < 2 || !expected[1].worthMoving(expected[0], objective, c.ranked[1].upstream.pressed()) {
+func preferFaster(c *candidates, expected *[maxTimedCandidates]Estimate, objective time.Duration, now int64) {
+	if c.count < 2 || !expected[1].worthMoving(expected[0], objective, c.ranked[1].upstream.pressed(now)) {
 		return
 	}
 	c.ranked[0], c.ranked[1] = c.ranked[1], c.ranked[0]
--- a/internal/coordination/fgaffinity/regionweights.go
+++ b/internal/coordination/fgaffinity/regionweights.go
@@ -55,7 +55,9 @@
 type regionWeight struct {
 	average float64
 	lastAdd int64
-	slots   int
+	// slots are those of the view, usable those of upstreams that are not draining, and
+	// lastUsable the ones before the view.
+	slots, usable, lastUsable int
 	// load and reporting are the requests at upstreams that reported lately, and their
 	// slots.
 	load      float64
@@ -63,20 +65,23 @@
 	// weightBits is the factor for the scores of the region's upstreams, as the bits
 	// of a float64.
 	weightBits atomic.Uint64
-	// meanBits is the mean load per slot, as the bits of a float64. It is 0 unless
-	// upstreams tell a slowdown.
+	// meanBits is the mean load per slot at the time meanAt, as the bits of a float64. It is
+	// 0 unless upstreams tell a slowdown.
 	meanBits atomic.Uint64
+	meanAt   atomic.Int64
 }
 
 // mean returns the mean load per slot of the region where upstreams are chosen by expected
-// time, and otherwise 0.
-func (r *regionWeight) mean() float64 { return math.Float64frombits(r.meanBits.Load()) }
+// time, and otherwise 0. It decays while no upstream reports.
+func (r *regionWeight) mean(now int64) float64 {
+	return math.Float64frombits(r.meanBits.Load()) * math.Exp(-float64(max(0, now-r.meanAt.Load()))/float64(loadDecay))
+}
 
 // weight returns the factor for the scores of the region's upstreams.
 func (r *regionWeight) weight() float64 { return math.Float64frombits(r.weightBits.Load()) }
 
 // addUpstream adds an upstream's slots to a region and returns the region.
-func (w *regionWeights) addUpstream(name string, slots int) *regionWeight {
+func (w *regionWeights) addUpstream(name string, slots int, usable bool) *regionWeight {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r := w.regions[name]
@@ -89,6 +94,9 @@
 		w.regions[name] = r
 	}
 	r.slots += slots
+	if usable {
+		r.usable += slots
+	}
 	return r
 }
 
@@ -97,7 +105,27 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, r := range w.regions {
-		r.slots = 0
+		r.lastUsable = r.usable
+		r.slots, r.usable = 0, 0
+	}
+}
+
+// admitSlots lowers the weights of regions that have got more usable slots, so that their
+// part of the keys stays the same at first. It rises as fast as weights change. All keys of a
+// zone that is no longer drained, or whose entries come back to the store, would else change
+// region at once.
+func (w *regionWeights) admitSlots() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := 0
+	for _, r := range w.regions {
+		before += r.lastUsable
+	}
+	for _, r := range w.regions {
+		if before > 0 && r.usable > r.lastUsable {
+			weight := r.weight() * float64(r.lastUsable) / float64(r.usable)
+			r.weightBits.Store(math.Float64bits(max(minRegionWeight, weight)))
+		}
 	}
 }
 
@@ -148,6 +176,7 @@
 	w.updateWeights(now, time.Duration(elapsed), timedSpill)
 	for _, r := range w.regions {
 		r.meanBits.Store(math.Float64bits(r.decayedAverage(now)))
+		r.meanAt.Store(now)
 	}
 }
 
