--- a/internal/coordination/fgadmission/queue_test.go
+++ b/internal/coordination/fgadmission/queue_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 )
 
 // queueTest is a Controller whose waiting requests get the room that a test gives them.
@@ -181,6 +183,10 @@
 				if n := q.waiting(); n != tt.want {
 					t.Errorf("got %d waiting requests, want %d", n, tt.want)
 				}
+				waiting, now := q.groups["g"].queue.waiters[0].attempt, time.Now()
+				if waiting.competition(fgaffinity.Estimate{}, now).QueueFull || !q.Begin(waiting.request).competition(fgaffinity.Estimate{}, now).QueueFull {
+					t.Error("got a full queue for a request that waits in it, or none for a new one")
+				}
 				q.add(tt.want)
 				q.ends.Wait()
 				if len(q.placed) != tt.want {
