--- a/internal/fgstandin/network.go
+++ b/internal/fgstandin/network.go
@@ -41,7 +41,8 @@
 }
 
 // SetPartitioned begins or ends a partition between two hosts. Data that was sent
-// during the partition arrives when it ends.
+// during the partition arrives when it ends, also if its sender has closed the
+// connection meanwhile, but not if the sender has reset it.
 func (n *Network) SetPartitioned(a, b netip.Addr, partitioned bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/fgstandin/network_test.go
+++ b/internal/fgstandin/network_test.go
@@ -90,3 +90,45 @@
 		}
 	})
 }
+
+// Guards against a reset that delivers what a partition holds back, and a normal close
+// that does not: TCP drops the first and sends the second again.
+func TestResetDropsHeldData(t *testing.T) {
+	tests := []struct {
+		linger int
+		want   string
+		err    error
+	}{{0, "", syscall.ECONNRESET}, {-1, "held", nil}}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			n := &Network{}
+			l, err := n.Host(hostB).Listen("tcp", "10.0.0.2:80")
+			if err != nil {
+				t.Fatal(err)
+			}
+			c, err := n.Host(hostA).DialContext(t.Context(), "tcp", "10.0.0.2:80")
+			if err != nil {
+				t.Fatal(err)
+			}
+			peer, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			n.SetPartitioned(hostA, hostB, true)
+			if _, err := io.WriteString(c, "held"); err != nil {
+				t.Fatal(err)
+			}
+			mc := c.(*memoryConn)
+			if unacknowledged, err := mc.Unacknowledged(); unacknowledged != 4 || err != nil {
+				t.Errorf("%d bytes are unacknowledged, %v; want 4", unacknowledged, err)
+			}
+			_ = mc.SetLinger(tt.linger)
+			_ = c.Close()
+			n.SetPartitioned(hostA, hostB, false)
+			if got, err := io.ReadAll(peer); string(got) != tt.want || !errors.Is(err, tt.err) {
+				t.Errorf("linger %d: got %q, %v; want %q, %v", tt.linger, got, err, tt.want, tt.err)
+			}
+			n.CloseHost(hostB)
+		})
+	}
+}
--- a/internal/fgstandin/networkconn.go
+++ b/internal/fgstandin/networkconn.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -19,6 +20,8 @@
 	network       *Network
 	local, remote netip.AddrPort
 	in, out       *stream
+	// resets means that Close resets the connection.
+	resets atomic.Bool
 }
 
 // Read reads data that the other end has sent.
@@ -27,14 +30,28 @@
 // Write sends data to the other end.
 func (c *memoryConn) Write(p []byte) (int, error) { return c.out.write(p) }
 
-// Close closes both directions.
+// Close closes both directions. Data that was written still arrives, unless SetLinger
+// made the close a reset.
 func (c *memoryConn) Close() error {
+	if c.resets.Load() {
+		c.out.reset()
+	}
 	c.out.closeWriter()
 	c.in.closeReader()
 	c.network.removeConn(c)
 	return nil
 }
 
+// SetLinger makes Close a reset if sec is 0, and a normal close if it is negative, as
+// for a net.TCPConn.
+func (c *memoryConn) SetLinger(sec int) error {
+	c.resets.Store(sec == 0)
+	return nil
+}
+
+// Unacknowledged returns the number of written bytes that have not arrived.
+func (c *memoryConn) Unacknowledged() (int, error) { return c.out.inTransit(), nil }
+
 // LocalAddr returns the address of this end.
 func (c *memoryConn) LocalAddr() net.Addr { return net.TCPAddrFromAddrPort(c.local) }
 
@@ -76,6 +93,8 @@
 	// size is the number of bytes in chunks.
 	size         int
 	writerClosed bool
+	// wasReset means that the writer has reset the connection.
+	wasReset bool
 	// closeArrives is when the reader sees that the writer has closed.
 	closeArrives time.Time
 	readerClosed bool
@@ -120,6 +139,9 @@
 		}
 		return 0, earlier(s.chunks[0].arrives, s.readDeadline), nil
 	case s.writerClosed && !s.closeArrives.After(now):
+		if s.wasReset {
+			return 0, time.Time{}, syscall.ECONNRESET
+		}
 		return 0, time.Time{}, io.EOF
 	case s.writerClosed:
 		return 0, earlier(s.closeArrives, s.readDeadline), nil
@@ -191,6 +213,47 @@
 	s.notify()
 }
 
+// inTransit returns the number of written bytes that have not arrived: those that a
+// partition holds back count, whenever they were written.
+func (s *stream) inTransit() int {
+	partitioned, _ := s.network.isPartitioned(s.link)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if partitioned || s.silent {
+		return s.size
+	}
+	n, now := 0, time.Now()
+	for _, c := range s.chunks {
+		if c.arrives.After(now) {
+			n += len(c.data)
+		}
+	}
+	return n
+}
+
+// reset drops the data that has not arrived, as TCP does not send it again after a
+// reset.
+func (s *stream) reset() {
+	partitioned, _ := s.network.isPartitioned(s.link)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.writerClosed {
+		return
+	}
+	s.wasReset = true
+	now := time.Now()
+	kept := s.chunks[:0]
+	s.size = 0
+	for _, c := range s.chunks {
+		if !partitioned && !s.silent && !c.arrives.After(now) {
+			kept = append(kept, c)
+			s.size += len(c.data)
+		}
+	}
+	s.chunks = kept
+	s.notify()
+}
+
 func (s *stream) closeReader() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
