Reset connections whose exchange is not complete

Cause: an abandoned exchange closed its connection normally. The kernel and the network went on delivering the request, and it ran when a partition ended, up to 9 s later. A non-idempotent request could be sent after its caller had left.

Change: conn.end is the only place that closes a connection to an upstream or another gateway. Connections are opened with SO_LINGER 0, so that also a process that is killed resets them; only a connection without a request, or whose exchange is complete, is closed normally. The end of the context resets at once, instead of by a deadline. The end of Run ends all exchanges. Withdraw and Request.Abandoned end requests that were not written, and after 300 ms those whose bytes are not acknowledged (SIOCOUTQ). Connections that cannot be reset are counted. A gateway that stops resets the connections of callers whose requests are unfinished at the end of the grace period.

Without SetLinger, the withdrawal at the end of Run, the check of Abandoned or the unacknowledged bytes, a test fails for each.

--- a/internal/transport/fglistener/connections.go
+++ b/internal/transport/fglistener/connections.go
@@ -84,6 +84,21 @@
 	for err == nil && c.release() > 0 {
 		err = fgtimer.Wait(ctx, stopPollInterval)
 	}
+	if err != nil {
+		c.resetActive()
+	}
 	_ = s.Close()
 	return err
 }
+
+// resetActive makes the end of connections with unfinished requests a reset: the part of
+// a response that is in transit must not arrive as a whole one.
+func (c *Connections) resetActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, s := range c.open {
+		if s.state == http.StateActive {
+			resetOnClose(conn)
+		}
+	}
+}
--- a/internal/transport/fglistener/reset.go
+++ b/internal/transport/fglistener/reset.go
@@ -24,6 +24,11 @@
 		return
 	}
 	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	resetOnClose(c)
+}
+
+// resetOnClose makes the end of a connection a reset if it is TCP.
+func resetOnClose(c net.Conn) {
 	if t, ok := c.(*tls.Conn); ok {
 		c = t.NetConn()
 	}
--- a/internal/transport/fgpool/conn.go
+++ b/internal/transport/fgpool/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,12 +26,59 @@
 	expires time.Time // end of the idle timeout
 	// used means that the connection has carried a request.
 	used bool
+	// linger sets SO_LINGER. It is nil if the connection cannot be reset.
+	linger lingerer
+	// notReset counts connections that should have been reset but could not be.
+	notReset *atomic.Int64
+	ended    atomic.Bool
+}
+
+// lingerer is a connection that can be reset, such as a net.TCPConn.
+type lingerer interface{ SetLinger(sec int) error }
+
+// acknowledger is a connection without a file descriptor that knows how many of the
+// written bytes the other end has not acknowledged.
+type acknowledger interface{ Unacknowledged() (int, error) }
+
+// end closes the connection. complete means that nothing of a request can be in transit:
+// the last exchange is complete, or there was none. Otherwise, the connection is reset,
+// since the kernel and the network would go on delivering the request after a normal
+// close. Each connection ends here and only once.
+func (c *conn) end(complete bool) {
+	if !c.ended.CompareAndSwap(false, true) {
+		return
+	}
+	if complete && c.linger != nil {
+		_ = c.linger.SetLinger(-1)
+	}
+	if !complete && c.linger == nil {
+		c.notReset.Add(1)
+	}
+	_ = c.Close()
+}
+
+// unacknowledged returns the number of written bytes that the other end has not
+// acknowledged, including those that the kernel has not sent. It is zero if that is not
+// known.
+func (c *conn) unacknowledged() int {
+	n := 0
+	var err error
+	if c.raw != nil {
+		controlErr := c.raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+		err = errors.Join(err, controlErr)
+	} else if a, ok := c.Conn.(acknowledger); ok {
+		n, err = a.Unacknowledged()
+	}
+	if err != nil {
+		return 0
+	}
+	return n
 }
 
 // newConn returns a connection that reads through a headLimit.
 func newConn(c net.Conn) *conn {
 	head := &headLimit{conn: c}
-	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
+	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), notReset: new(atomic.Int64)}
 }
 
 // headLimit limits how many bytes are read from a connection while the head of a
@@ -64,17 +113,22 @@
 
 // newUpstreamConn returns a connection that was opened, with TCP_USER_TIMEOUT set, or the
 // error of opening it.
-func newUpstreamConn(netConn net.Conn, err error) (*conn, error) {
+func (p *Pool) newUpstreamConn(netConn net.Conn, err error) (*conn, error) {
 	if err != nil {
 		return nil, err
 	}
 	c := newConn(netConn)
+	c.notReset = &p.notReset
+	// The connection is reset unless end decides otherwise, also if the process is killed.
+	if l, ok := netConn.(lingerer); ok && l.SetLinger(0) == nil {
+		c.linger = l
+	}
 	tcp, ok := netConn.(*net.TCPConn)
 	if !ok {
 		return c, nil
 	}
 	if c.raw, err = tcp.SyscallConn(); err != nil {
-		_ = netConn.Close()
+		c.end(true)
 		return nil, err
 	}
 	var sockoptErr error
@@ -82,7 +136,7 @@
 		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 	})
 	if err != nil || sockoptErr != nil {
-		_ = netConn.Close()
+		c.end(true)
 		return nil, net.ErrClosed
 	}
 	return c, nil
--- /dev/null
+++ b/internal/transport/fgpool/exchange.go
@@ -0,0 +1,301 @@
+package fgpool
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// acknowledgeTimeout is how long an upstream has to acknowledge a withdrawn request. It
+// is longer than a round trip between regions and the shortest retransmission timeout of
+// TCP (200 ms), and leaves 0.2 s of the 0.5 s after which nothing may reach an upstream
+// for a caller that has left.
+const acknowledgeTimeout = 300 * time.Millisecond
+
+// Request is a request to an upstream.
+type Request struct {
+	Method string
+	// URI is the request target as the caller sent it.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Accept reports whether a response belongs to this request. reused means that
+	// the connection has carried earlier requests, whose responses may arrive late.
+	// Nil accepts every response.
+	Accept func(res *http.Response, reused bool) bool
+	// Abandoned is a context whose end withdraws the request, as Withdraw does. Nil
+	// means that nothing but the context of Send ends the exchange.
+	Abandoned context.Context
+}
+
+// Response is an upstream's response. The caller reads Body and then calls Close
+// once.
+type Response struct {
+	*http.Response
+
+	exchange *exchange
+	conn     *conn
+	// stop prevents the context from resetting the connection any more. It returns
+	// false if the context has already done so.
+	stop func() bool
+	// written receives the result of a write that runs in the background. It is
+	// nil if the request was written before the response was read.
+	written <-chan error
+}
+
+// exchange is a request from the call of Send to the end of its response.
+type exchange struct {
+	pool   *Pool
+	target Target
+	// cancel ends the exchange, whose connection is then reset.
+	cancel context.CancelCauseFunc
+	// release stops the observation of Request.Abandoned.
+	release func() bool
+	// allWritten and responded mean that the whole request was written, and that the
+	// head of the response was read.
+	allWritten, responded atomic.Bool
+	withdrawOnce          sync.Once
+
+	mu sync.Mutex
+	// conn is nil until the first byte is about to be written.
+	conn *conn
+}
+
+// Send sends a request to an upstream, at most once. Cancelling the context resets the
+// connection at any time until the response is closed, so that nothing of the request
+// that is in transit can reach the upstream. Errors wrap ErrNotSent or ErrNoResponse.
+func (p *Pool) Send(ctx context.Context, t Target, r Request) (*Response, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	x := &exchange{pool: p, target: t, cancel: cancel, release: func() bool { return true }}
+	p.add(x)
+	if r.Abandoned != nil {
+		x.release = context.AfterFunc(r.Abandoned, x.withdraw)
+	}
+	c, err := p.connect(ctx, t)
+	if err != nil {
+		x.finish()
+		return nil, merry.Wrap(errors.Join(ErrNotSent, err, context.Cause(ctx)))
+	}
+	if r.Abandoned != nil && r.Abandoned.Err() != nil {
+		// The function registered above may not have run yet.
+		x.withdraw()
+	}
+	stop := context.AfterFunc(ctx, func() { c.end(false) })
+	rs := &Response{exchange: x, conn: c, stop: stop}
+	if x.begin(ctx, c) {
+		err = rs.run(r)
+	} else {
+		err = merry.Wrap(ErrNotSent)
+	}
+	c.used = true
+	if err != nil {
+		c.end(false)
+		err = errors.Join(err, context.Cause(ctx))
+		stop()
+		x.finish()
+		return nil, err
+	}
+	x.responded.Store(true)
+	return rs, nil
+}
+
+// add registers an exchange. If the pool is closed or the target's requests are withdrawn,
+// it cancels the exchange.
+func (p *Pool) add(x *exchange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.withdrawn != nil && p.withdrawn(x.target) {
+		x.cancel(merry.Wrap(ErrWithdrawn))
+		return
+	}
+	if p.active == nil {
+		p.active = map[*exchange]struct{}{}
+	}
+	p.active[x] = struct{}{}
+}
+
+// finish releases what an exchange uses except its connection.
+func (x *exchange) finish() {
+	x.pool.mu.Lock()
+	delete(x.pool.active, x)
+	x.pool.mu.Unlock()
+	x.release()
+	x.cancel(nil)
+}
+
+// begin sets the connection, and reports whether the request may be written. After a
+// withdrawal it may not.
+func (x *exchange) begin(ctx context.Context, c *conn) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if ctx.Err() != nil {
+		return false
+	}
+	x.conn = c
+	return true
+}
+
+// Withdraw ends the exchanges with the targets that match and whose requests have not
+// reached the upstream: those that have not been written at once, and after
+// acknowledgeTimeout those without a response that are not written or not acknowledged
+// completely. Until the next call, no request is sent to targets that match: Send may
+// have been called for one that was chosen before. Nil matches none.
+func (p *Pool) Withdraw(match func(Target) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.withdrawn = match
+	if match == nil {
+		return
+	}
+	for x := range p.active {
+		if match(x.target) {
+			x.withdraw()
+		}
+	}
+}
+
+// withdraw ends the exchange unless its request has reached the upstream.
+func (x *exchange) withdraw() {
+	x.withdrawOnce.Do(func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if x.conn == nil {
+			x.cancel(merry.Wrap(ErrWithdrawn))
+			return
+		}
+		time.AfterFunc(acknowledgeTimeout, x.endUnacknowledged)
+	})
+}
+
+// endUnacknowledged ends the exchange if it has no response and the upstream has not
+// acknowledged the whole request.
+func (x *exchange) endUnacknowledged() {
+	if x.responded.Load() || x.allWritten.Load() && x.conn.unacknowledged() == 0 {
+		return
+	}
+	x.cancel(merry.Wrap(ErrWithdrawn))
+}
+
+// run writes the request and reads the header of its response.
+func (rs *Response) run(r Request) error {
+	header := encodeRequest(r)
+	if len(header)+len(r.Body) > maxInlineBytes {
+		written := make(chan error, 1)
+		rs.written = written
+		go func() {
+			buffers := net.Buffers{header, r.Body}
+			_, err := buffers.WriteTo(rs.conn.Conn)
+			rs.exchange.allWritten.Store(true)
+			written <- err
+		}()
+	} else if n, err := rs.conn.Write(append(header, r.Body...)); err != nil {
+		if n == 0 {
+			return errors.Join(ErrNotSent, err)
+		}
+		return errors.Join(ErrNoResponse, err)
+	} else {
+		rs.exchange.allWritten.Store(true)
+	}
+	for range maxStaleResponses + 1 {
+		rs.conn.head.set(rs.exchange.pool.headBytes())
+		res, err := http.ReadResponse(rs.conn.reader, &http.Request{Method: r.Method})
+		rs.conn.head.clear()
+		if err != nil {
+			return rs.readError(err)
+		}
+		if res.StatusCode < http.StatusOK {
+			continue
+		}
+		if r.Accept == nil || r.Accept(res, rs.conn.used) {
+			rs.Response = res
+			return nil
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStaleBodyBytes))
+		if err != nil {
+			return rs.readError(err)
+		}
+		if n == maxStaleBodyBytes || res.Close {
+			return errors.Join(ErrNoResponse, ErrMalformed)
+		}
+	}
+	return errors.Join(ErrNoResponse, ErrMalformed)
+}
+
+// readError returns the error of an exchange whose response could not be read. It
+// is ErrMalformed unless the connection broke.
+func (rs *Response) readError(err error) error {
+	if rs.conn.head.broken {
+		return errors.Join(ErrNoResponse, err)
+	}
+	return errors.Join(ErrNoResponse, ErrMalformed, err)
+}
+
+// encodeRequest returns the request line and header of an HTTP/1.1 request. The
+// slice has capacity for a short body to be appended.
+func encodeRequest(r Request) []byte {
+	var b bytes.Buffer
+	b.Grow(512 + min(len(r.Body), maxInlineBytes))
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.URI)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	_ = r.Header.Write(&b)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// Close ends the exchange. The connection goes back to the pool for idleTimeout
+// (zero means the default) if complete is true, which means that the body was read
+// to its end, and the connection can carry another request. If the exchange is complete
+// and the connection cannot, it is closed. Otherwise, it is reset.
+func (rs *Response) Close(complete bool, idleTimeout time.Duration) {
+	_ = rs.Body.Close()
+	// The cancellation of the exchange must not reset the connection of the next one.
+	complete = rs.stop() && complete && rs.isWritten()
+	rs.exchange.finish()
+	if !complete || rs.Response.Close || rs.ContentLength < -1 || rs.conn.reader.Buffered() > 0 || rs.isUnframed() {
+		rs.conn.end(complete)
+		return
+	}
+	if idleTimeout <= 0 {
+		idleTimeout = defaultIdleTimeout
+	} else {
+		idleTimeout = max(idleTimeout-idleMargin, idleTimeout/2)
+	}
+	rs.conn.expires = time.Now().Add(idleTimeout)
+	rs.exchange.pool.put(rs.exchange.target.key(), rs.conn)
+}
+
+// isUnframed reports whether the body has no length and ends when the connection is
+// closed.
+func (rs *Response) isUnframed() bool { return rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 }
+
+// isWritten reports whether the request was written completely.
+func (rs *Response) isWritten() bool {
+	if rs.written == nil {
+		return true
+	}
+	select {
+	case err := <-rs.written:
+		return err == nil
+	default:
+		return false
+	}
+}
--- a/internal/transport/fgpool/pool.go
+++ b/internal/transport/fgpool/pool.go
@@ -5,13 +5,9 @@
 package fgpool
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
-	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,25 +63,14 @@
 	// ErrMalformed means that the upstream sent bytes that are not a response to the
 	// request, or more of them than the limits allow. It comes with ErrNoResponse.
 	ErrMalformed = merry.Sentinel("the upstream sent no valid response")
+	// ErrWithdrawn means that Withdraw or the end of Run ended the exchange. It comes
+	// with ErrNotSent or ErrNoResponse.
+	ErrWithdrawn = merry.Sentinel("the request was withdrawn")
 
 	// errHeadTooLarge means that the head of a response exceeds its limit.
 	errHeadTooLarge = merry.Sentinel("the head of the response is too large")
 )
 
-// Request is a request to an upstream.
-type Request struct {
-	Method string
-	// URI is the request target as the caller sent it.
-	URI    string
-	Host   string
-	Header http.Header
-	Body   []byte
-	// Accept reports whether a response belongs to this request. reused means that
-	// the connection has carried earlier requests, whose responses may arrive late.
-	// Nil accepts every response.
-	Accept func(res *http.Response, reused bool) bool
-}
-
 // Target names an upstream and its address.
 type Target struct {
 	ID      string
@@ -97,8 +82,16 @@
 type Pool struct {
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// active holds the exchanges from the call of Send to the end of the response.
+	active map[*exchange]struct{}
+	// withdrawn reports whether requests to a target are withdrawn. It may be nil.
+	withdrawn func(Target) bool
+	// closed means that Run has ended.
+	closed bool
 
 	opened, reused atomic.Int64
+	// notReset counts connections that should have been reset and were closed.
+	notReset       atomic.Int64
 	connectTimeout atomic.Int64
 	maxHeadBytes   atomic.Int64
 	hooks          Hooks
@@ -135,151 +128,13 @@
 // Opened returns how many new connections were attempted.
 func (p *Pool) Opened() int64 { return p.opened.Load() }
 
+// NotReset returns how many connections with an exchange that had not completed were
+// closed, because they could not be reset. The network may still deliver their requests.
+func (p *Pool) NotReset() int64 { return p.notReset.Load() }
+
 // Reused returns how many requests were sent on a pooled connection.
 func (p *Pool) Reused() int64 { return p.reused.Load() }
 
-// Response is an upstream's response. The caller reads Body and then calls Close
-// once.
-type Response struct {
-	*http.Response
-
-	pool   *Pool
-	conn   *conn
-	target Target
-	// stop prevents the context from aborting the exchange any more. It returns false
-	// if the context has already done so.
-	stop func() bool
-	// written receives the result of a write that runs in the background. It is
-	// nil if the request was written before the response was read.
-	written <-chan error
-}
-
-// Send sends a request to an upstream, at most once. Cancelling the context
-// aborts the exchange at any time until the response is closed. Errors wrap
-// ErrNotSent or ErrNoResponse.
-func (p *Pool) Send(ctx context.Context, t Target, r Request) (*Response, error) {
-	c, err := p.connect(ctx, t)
-	if err != nil {
-		return nil, merry.Wrap(errors.Join(ErrNotSent, err))
-	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	rs := &Response{pool: p, conn: c, target: t, stop: stop}
-	err = rs.exchange(r)
-	c.used = true
-	if err != nil {
-		stop()
-		_ = c.Close()
-		if cause := ctx.Err(); cause != nil {
-			err = errors.Join(err, cause)
-		}
-		return nil, err
-	}
-	return rs, nil
-}
-
-// exchange writes the request and reads the header of its response.
-func (rs *Response) exchange(r Request) error {
-	header := encodeRequest(r)
-	if len(header)+len(r.Body) > maxInlineBytes {
-		written := make(chan error, 1)
-		rs.written = written
-		go func() {
-			buffers := net.Buffers{header, r.Body}
-			_, err := buffers.WriteTo(rs.conn.Conn)
-			written <- err
-		}()
-	} else if n, err := rs.conn.Write(append(header, r.Body...)); err != nil {
-		if n == 0 {
-			return errors.Join(ErrNotSent, err)
-		}
-		return errors.Join(ErrNoResponse, err)
-	}
-	for range maxStaleResponses + 1 {
-		rs.conn.head.set(rs.pool.headBytes())
-		res, err := http.ReadResponse(rs.conn.reader, &http.Request{Method: r.Method})
-		rs.conn.head.clear()
-		if err != nil {
-			return rs.readError(err)
-		}
-		if res.StatusCode < http.StatusOK {
-			continue
-		}
-		if r.Accept == nil || r.Accept(res, rs.conn.used) {
-			rs.Response = res
-			return nil
-		}
-		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStaleBodyBytes))
-		if err != nil {
-			return rs.readError(err)
-		}
-		if n == maxStaleBodyBytes || res.Close {
-			return errors.Join(ErrNoResponse, ErrMalformed)
-		}
-	}
-	return errors.Join(ErrNoResponse, ErrMalformed)
-}
-
-// readError returns the error of an exchange whose response could not be read. It
-// is ErrMalformed unless the connection broke.
-func (rs *Response) readError(err error) error {
-	if rs.conn.head.broken {
-		return errors.Join(ErrNoResponse, err)
-	}
-	return errors.Join(ErrNoResponse, ErrMalformed, err)
-}
-
-// encodeRequest returns the request line and header of an HTTP/1.1 request. The
-// slice has capacity for a short body to be appended.
-func encodeRequest(r Request) []byte {
-	var b bytes.Buffer
-	b.Grow(512 + min(len(r.Body), maxInlineBytes))
-	b.WriteString(r.Method)
-	b.WriteByte(' ')
-	b.WriteString(r.URI)
-	b.WriteString(" HTTP/1.1\r\nHost: ")
-	b.WriteString(r.Host)
-	b.WriteString("\r\n")
-	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
-		b.WriteString("\r\n")
-	}
-	b.WriteString("\r\n")
-	return b.Bytes()
-}
-
-// Close ends the exchange. The connection goes back to the pool for idleTimeout
-// (zero means the default) if complete is true, which means that the body was read
-// to its end, and the connection can carry another request. Otherwise, it is closed.
-func (rs *Response) Close(complete bool, idleTimeout time.Duration) {
-	_ = rs.Body.Close()
-	reusable := rs.stop() && complete && !rs.Response.Close && rs.ContentLength >= -1 && rs.conn.reader.Buffered() == 0
-	if rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 {
-		// The body has no length and ends when the connection is closed.
-		reusable = false
-	}
-	if rs.written != nil {
-		select {
-		case err := <-rs.written:
-			reusable = reusable && err == nil
-		default:
-			reusable = false
-		}
-	}
-	if !reusable {
-		_ = rs.conn.Close()
-		return
-	}
-	if idleTimeout <= 0 {
-		idleTimeout = defaultIdleTimeout
-	} else {
-		idleTimeout = max(idleTimeout-idleMargin, idleTimeout/2)
-	}
-	rs.conn.expires = time.Now().Add(idleTimeout)
-	rs.pool.put(rs.target.key(), rs.conn)
-}
-
 // key identifies the target in the pool. It includes the ID, because different
 // processes may use the same address one after another.
 func (t Target) key() string { return t.ID + "@" + t.Address }
@@ -288,6 +143,10 @@
 func (p *Pool) put(key string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		c.end(true)
+		return
+	}
 	if p.idle == nil {
 		p.idle = map[string][]*conn{}
 	}
@@ -318,7 +177,7 @@
 			p.reused.Add(1)
 			return c, nil
 		}
-		_ = c.Close()
+		c.end(true)
 	}
 	return p.open(ctx, t)
 }
@@ -336,7 +195,7 @@
 	if dial == nil {
 		dial = dialer.DialContext
 	}
-	c, err := newUpstreamConn(dial(dialCtx, "tcp", t.Address))
+	c, err := p.newUpstreamConn(dial(dialCtx, "tcp", t.Address))
 	if p.hooks.Connected != nil && (err == nil || ctx.Err() == nil) {
 		p.hooks.Connected(t, err)
 	}
@@ -390,15 +249,15 @@
 	return Refused
 }
 
-// Run closes idle connections as they expire until the context is done, and
-// then closes the remaining ones.
+// Run closes idle connections as they expire until the context is done. Then it closes
+// the remaining ones, ends all exchanges, and makes Send fail.
 func (p *Pool) Run(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			p.sweep(time.Time{})
+			p.close()
 			return ctx.Err()
 		case now := <-ticker.C:
 			p.sweep(now)
@@ -406,6 +265,17 @@
 	}
 }
 
+// close closes the idle connections and ends all exchanges.
+func (p *Pool) close() {
+	p.sweep(time.Time{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for x := range p.active {
+		x.cancel(merry.Wrap(ErrWithdrawn))
+	}
+}
+
 // sweep closes the idle connections that expired before now, or all of them if
 // now is zero.
 func (p *Pool) sweep(now time.Time) {
@@ -415,7 +285,7 @@
 		kept := conns[:0]
 		for _, c := range conns {
 			if now.IsZero() || now.After(c.expires) {
-				_ = c.Close()
+				c.end(true)
 				continue
 			}
 			kept = append(kept, c)
@@ -434,7 +304,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.idle[t.key()] {
-		_ = c.Close()
+		c.end(true)
 	}
 	delete(p.idle, t.key())
 }
