Withdraw requests of drained upstreams and of callers that have left

Cause: a request that a partition held back reached a zone seconds after it was drained, and a non-idempotent request was sent although its caller had left meanwhile.

The counter filbertgap_gateway_connections_not_reset_total is new.

--- a/internal/fggateway/detour.go
+++ b/internal/fggateway/detour.go
@@ -151,7 +151,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	// A restarted gateway has other connections.
 	target := fgpool.Target{ID: peer.VM + "/" + strconv.FormatUint(peer.Incarnation, 10), Address: peer.CallerAddress}
-	response, err := g.peerPool.Send(ctx, target, fgpool.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: header, Body: q.body})
+	response, err := g.peerPool.Send(ctx, target, fgpool.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: header, Body: q.body, Abandoned: r.Context()})
 	if errors.Is(err, fgpool.ErrNotSent) {
 		cancel()
 		return g.detourFailed(q, peer, fgaffinity.Unreached, q.unservedRefusal(codeUnreached, "no other gateway is reachable"), err)
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -188,7 +188,7 @@
 	w := g.watchOverdue(q, u, cancel)
 	var meta fgmessage.Response
 	response, err := g.pool.Send(ctx, upstreamTarget(spec), fgpool.Request{
-		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: q.header, Body: q.body,
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: q.header, Body: q.body, Abandoned: r.Context(),
 		Accept: func(res *http.Response, reused bool) bool {
 			g.path.RecordResponse()
 			meta = g.dialect.ReadResponse(res)
@@ -201,7 +201,7 @@
 	if err != nil {
 		cancel()
 		result := g.recordSendFailure(r, q, u, next != nil, err)
-		return sendOutcome{result: result, refusal: q.failureRefusal(next != nil, err), next: next}
+		return sendOutcome{result: result, refusal: q.failureRefusal(next != nil, err), next: next, final: result == fgaffinity.Left}
 	}
 	if next != nil {
 		// The response arrived while the send was being abandoned.
@@ -244,6 +244,8 @@
 		result = fgaffinity.Silent
 	case errors.Is(err, fgpool.ErrNotSent):
 		result = fgaffinity.Unreached
+	case errors.Is(err, fgpool.ErrWithdrawn):
+		result = fgaffinity.Silent
 	case errors.Is(err, fgpool.ErrMalformed):
 		result = fgaffinity.Malformed
 	}
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -192,7 +192,8 @@
 		dropped = func() int64 { return 0 }
 	}
 	return fgmetrics.NewGateway(fgmetrics.GatewayCallbacks{
-		StoreAge: g.mirror.Age, StoreCopyAge: g.mirror.CopyAge, StoreRevision: g.mirror.Revision, StoreEra: g.mirror.Era, ConnectionsOpened: g.pool.Opened, ConnectionsReused: g.pool.Reused, DroppedLines: dropped,
+		StoreAge: g.mirror.Age, StoreCopyAge: g.mirror.CopyAge, StoreRevision: g.mirror.Revision, StoreEra: g.mirror.Era, ConnectionsOpened: g.pool.Opened, ConnectionsReused: g.pool.Reused,
+		ConnectionsNotReset: func() int64 { return g.pool.NotReset() + g.peerPool.NotReset() }, DroppedLines: dropped,
 		CallerConnections: func() int64 { return g.sockets.callers.Accepted() },
 		LimitedUpstreams:  g.balancer.LimitedUpstreams,
 		PathStatus:        func() int { return int(g.path.Status()) },
@@ -228,6 +229,7 @@
 // applyView applies a new view.
 func (g *Gateway) applyView(v *fgsteer.View) {
 	g.balancer.Update(v)
+	g.withdrawDrained(v)
 	g.path.SetUpstreams(countUpstreams(v))
 	// This VM may serve requests before its own entry is in the view.
 	vms := []string{g.settings.Self.VM}
--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -135,6 +135,8 @@
 	logs   logBuffer
 	// links are the paths of gateways to the upstreams, by VM. The others have no faults.
 	links map[string]*upstreamLink
+	// dial opens the connections of gateways without a link to upstreams. Nil means TCP.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func newTestEnv(t *testing.T) *testEnv {
@@ -201,6 +203,7 @@
 		Feed: env.feed, Codec: testCodec{}, EncodeMember: encodeMember, Dialect: testDialect{},
 		Logger: logr.FromSlogHandler(slog.NewJSONHandler(&env.logs, nil)),
 	}
+	options.DialUpstream = env.dial
 	if l := env.links[vm]; l != nil {
 		options.DialUpstream = l.dial
 	}
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -33,8 +33,10 @@
 	PathStatus        func() int
 	ConnectionsOpened func() int64
 	ConnectionsReused func() int64
-	CallerConnections func() int64
-	DroppedLines      func() int64
+	// ConnectionsNotReset counts connections that were closed in an exchange without a reset.
+	ConnectionsNotReset func() int64
+	CallerConnections   func() int64
+	DroppedLines        func() int64
 }
 
 // NewGateway returns metrics that start at zero.
@@ -64,6 +66,7 @@
 		gauge("gateway_upstream_path", "Path to the upstreams: 0 open, 1 no new connections, 2 lost.", func() float64 { return float64(c.PathStatus()) }),
 		counter("gateway_connections_opened_total", "Connections opened to upstreams.", c.ConnectionsOpened),
 		counter("gateway_connections_reused_total", "Requests sent over a kept connection.", c.ConnectionsReused),
+		counter("gateway_connections_not_reset_total", "Connections with an unfinished exchange that were closed without a reset.", c.ConnectionsNotReset),
 		counter("gateway_caller_connections_total", "Connections accepted from callers.", c.CallerConnections),
 		counter("gateway_log_lines_dropped_total", "Log lines dropped because the output was too slow.", c.DroppedLines),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/transport/fgpool/withdraw_test.go
+++ b/internal/transport/fgpool/withdraw_test.go
@@ -74,7 +74,9 @@
 					sent := make(chan error, 1)
 					var ended time.Time
 					go func() {
-						res, err := h.pool.Send(t.Context(), h.target, r)
+						ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+						defer cancel()
+						res, err := h.pool.Send(ctx, h.target, r)
 						ended = time.Now()
 						if err == nil {
 							res.Close(false, 0)
