Hold a body of unknown length in parts

Cause: a chunked body reserved its chunks, but append copied the whole body while it grew, so that up to three times the reserved memory was in use.

Change: the body stays in the parts in which it was read, which fgpool writes one after another. Hashes of requests do not change.

Measured: TestChunkedBodyUsesWhatItReserves passes; the allocations for 8 MiB are within 256 KiB of what is reserved.

--- a/internal/fggateway/body.go
+++ b/internal/fggateway/body.go
@@ -72,9 +72,10 @@
 	return nil
 }
 
-// receiveBody reads a body. A negative length means that it is unknown. The number
-// of reserved bytes is added to reserved.
-func (g *Gateway) receiveBody(body io.Reader, length, limit int64, reserved *int64) ([]byte, error) {
+// receiveBody reads a body. A negative length means that it is unknown. Such a body is
+// returned in parts of bodyChunkBytes, because a slice that grows needs up to three times
+// the memory while it is copied. The number of reserved bytes is added to reserved.
+func (g *Gateway) receiveBody(body io.Reader, length, limit int64, reserved *int64) ([][]byte, error) {
 	reserve := func(n int64) error {
 		if !g.bodies.reserve(n) {
 			return errNoMemory
@@ -88,17 +89,35 @@
 		}
 		data := make([]byte, length)
 		_, err := io.ReadFull(body, data)
-		return data, err
+		return [][]byte{data}, err
 	}
-	var data []byte
+	var parts [][]byte
 	for {
 		if err := reserve(bodyChunkBytes); err != nil {
 			return nil, err
 		}
-		chunk, err := io.ReadAll(io.LimitReader(body, bodyChunkBytes))
-		data = append(data, chunk...)
-		if err != nil || len(chunk) < bodyChunkBytes {
-			return data, err
+		part := make([]byte, bodyChunkBytes)
+		n, err := readUntilFull(body, part)
+		parts = append(parts, part[:n])
+		if errors.Is(err, io.EOF) {
+			return parts, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// readUntilFull reads until b is full or reading fails. Unlike io.ReadFull, it returns the
+// reader's own error, which tells the end of a body from one that was cut off.
+func readUntilFull(r io.Reader, b []byte) (int, error) {
+	n := 0
+	for n < len(b) {
+		m, err := r.Read(b[n:])
+		n += m
+		if err != nil {
+			return n, err
 		}
 	}
+	return n, nil
 }
--- a/internal/fggateway/body_test.go
+++ b/internal/fggateway/body_test.go
@@ -1,11 +1,15 @@
 package fggateway
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
+	"testing/iotest"
 )
 
 // Guards against concurrent large bodies that exhaust a small VM's memory, and
@@ -90,3 +94,28 @@
 		})
 	}
 }
+
+// Guards against a chunked body that uses more memory than it reserves, and against parts
+// that are lost or a body that is cut off and taken for a whole one.
+func TestChunkedBodyUsesWhatItReserves(t *testing.T) {
+	const size = 8<<20 + 1000
+	var g Gateway
+	var reserved int64
+	body := bytes.Repeat([]byte("0123456789"), size/10)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	parts, err := g.receiveBody(bytes.NewReader(body), -1, 16<<20, &reserved)
+	runtime.ReadMemStats(&after)
+	if err != nil || !bytes.Equal(bytes.Join(parts, nil), body) {
+		t.Errorf("error %v, the body is changed", err)
+	}
+	// The list of the parts, and what the test framework allocates meanwhile.
+	const slack = 256 << 10
+	if used := int64(after.TotalAlloc - before.TotalAlloc); used > reserved+slack {
+		t.Errorf("%d bytes were allocated, %d reserved", used, reserved)
+	}
+	cut := io.MultiReader(bytes.NewReader(body[:1000]), iotest.ErrReader(io.ErrUnexpectedEOF))
+	if _, err := g.receiveBody(cut, -1, 16<<20, &reserved); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("a body that is cut off: error %v", err)
+	}
+}
--- a/internal/fggateway/crash.go
+++ b/internal/fggateway/crash.go
@@ -18,7 +18,7 @@
 	if q.workspace != nil {
 		workspace = q.workspace.Name
 	}
-	return fgsuspect.RequestHash(r.Method, r.RequestURI, workspace, q.body)
+	return fgsuspect.RequestHash(r.Method, r.RequestURI, workspace, q.body...)
 }
 
 // refuseCrashing refuses a request if identical ones have crashed several upstreams,
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -29,7 +29,8 @@
 	workspace *fgsteer.WorkspaceSpec
 	group     string
 	header    http.Header
-	body      []byte
+	// body holds the body in the parts in which it was read.
+	body [][]byte
 	// reserved is the memory reserved for the body, in bytes.
 	reserved int64
 	// chosen lists the upstreams chosen for the sends of the request, in order.
--- a/internal/state/fgsuspect/crashes.go
+++ b/internal/state/fgsuspect/crashes.go
@@ -66,13 +66,16 @@
 }
 
 // RequestHash returns a hash that is the same for equal requests of a workspace.
-func RequestHash(method, uri, workspace string, body []byte) uint64 {
+// The division of the body into parts does not matter.
+func RequestHash(method, uri, workspace string, body ...[]byte) uint64 {
 	d := xxhash.New()
 	for _, s := range []string{method, uri, workspace} {
 		_, _ = d.WriteString(s)
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(body)
+	for _, part := range body {
+		_, _ = d.Write(part)
+	}
 	return d.Sum64()
 }
 
--- a/internal/transport/fgpool/abandon_test.go
+++ b/internal/transport/fgpool/abandon_test.go
@@ -93,7 +93,7 @@
 // sized returns a request with a body of n bytes.
 func sized(id string, n int) Request {
 	r := request(id)
-	r.Body = []byte(strings.Repeat("x", n))
+	r.Body = [][]byte{[]byte(strings.Repeat("x", n/2)), []byte(strings.Repeat("x", n-n/2))}
 	return r
 }
 
--- a/internal/transport/fgpool/exchange.go
+++ b/internal/transport/fgpool/exchange.go
@@ -28,7 +28,8 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body holds the body in parts, so that one of unknown length need not be copied.
+	Body [][]byte
 	// Accept reports whether a response belongs to this request. reused means that
 	// the connection has carried earlier requests, whose responses may arrive late.
 	// Nil accepts every response.
@@ -38,6 +39,15 @@
 	Abandoned context.Context
 }
 
+// bodyBytes returns the size of the body.
+func (r Request) bodyBytes() int {
+	n := 0
+	for _, part := range r.Body {
+		n += len(part)
+	}
+	return n
+}
+
 // Response is an upstream's response. The caller reads Body and then calls Close
 // once.
 type Response struct {
@@ -189,16 +199,16 @@
 // run writes the request and reads the header of its response.
 func (rs *Response) run(r Request) error {
 	header := encodeRequest(r)
-	if len(header)+len(r.Body) > maxInlineBytes {
+	if len(header)+r.bodyBytes() > maxInlineBytes {
 		written := make(chan error, 1)
 		rs.written = written
 		go func() {
-			buffers := net.Buffers{header, r.Body}
+			buffers := append(net.Buffers{header}, r.Body...)
 			_, err := buffers.WriteTo(rs.conn.Conn)
 			rs.exchange.allWritten.Store(true)
 			written <- err
 		}()
-	} else if n, err := rs.conn.Write(append(header, r.Body...)); err != nil {
+	} else if n, err := rs.conn.Write(append(header, bytes.Join(r.Body, nil)...)); err != nil {
 		if n == 0 {
 			return errors.Join(ErrNotSent, err)
 		}
@@ -244,7 +254,8 @@
 // slice has capacity for a short body to be appended.
 func encodeRequest(r Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + min(len(r.Body), maxInlineBytes))
+	n := r.bodyBytes()
+	b.Grow(512 + min(n, maxInlineBytes))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.URI)
@@ -252,9 +263,9 @@
 	b.WriteString(r.Host)
 	b.WriteString("\r\n")
 	_ = r.Header.Write(&b)
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+	if n > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString(strconv.Itoa(n))
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
--- a/internal/transport/fgpool/pool_test.go
+++ b/internal/transport/fgpool/pool_test.go
@@ -55,7 +55,7 @@
 // request returns a request that accepts only responses with its own Id header.
 func request(id string) Request {
 	return Request{
-		Method: http.MethodPost, URI: "/a/b?c=%20d", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("order"),
+		Method: http.MethodPost, URI: "/a/b?c=%20d", Host: "h.example", Header: http.Header{"Id": {id}}, Body: [][]byte{[]byte("order")},
 		Accept: func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == id },
 	}
 }
@@ -285,7 +285,7 @@
 		_, _ = io.Copy(io.Discard, r)
 	})
 	req := request("1")
-	req.Body = make([]byte, 32<<20)
+	req.Body = [][]byte{make([]byte, 32<<20)}
 	p := &Pool{}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
