Copy a short request body once

Cause: joining the parts of a body allocates a second copy even if there is one part, for every request whose head and body fit into 16 KB. Change: the parts are appended to the head, whose slice has capacity for them.

--- a/internal/transport/fgpool/exchange.go
+++ b/internal/transport/fgpool/exchange.go
@@ -198,22 +198,26 @@
 
 // run writes the request and reads the header of its response.
 func (rs *Response) run(r Request) error {
-	header := encodeRequest(r)
-	if len(header)+r.bodyBytes() > maxInlineBytes {
+	data := encodeRequest(r)
+	if len(data)+r.bodyBytes() > maxInlineBytes {
 		written := make(chan error, 1)
 		rs.written = written
 		go func() {
-			buffers := append(net.Buffers{header}, r.Body...)
+			buffers := append(net.Buffers{data}, r.Body...)
 			_, err := buffers.WriteTo(rs.conn.Conn)
 			rs.exchange.allWritten.Store(true)
 			written <- err
 		}()
-	} else if n, err := rs.conn.Write(append(header, bytes.Join(r.Body, nil)...)); err != nil {
-		if n == 0 {
-			return errors.Join(ErrNotSent, err)
-		}
-		return errors.Join(ErrNoResponse, err)
 	} else {
+		for _, part := range r.Body {
+			data = append(data, part...)
+		}
+		if n, err := rs.conn.Write(data); err != nil {
+			if n == 0 {
+				return errors.Join(ErrNotSent, err)
+			}
+			return errors.Join(ErrNoResponse, err)
+		}
 		rs.exchange.allWritten.Store(true)
 	}
 	for range maxStaleResponses + 1 {
