--- a/internal/transport/fgpool/withdraw_test.go
+++ b/internal/transport/fgpool/withdraw_test.go
@@ -234,18 +234,20 @@
 
 // Guards against a connection that cannot be reset and is not counted.
 func TestNotResetIsCounted(t *testing.T) {
-	p := &Pool{}
-	p.SetHooks(Hooks{Dial: func(context.Context, string, string) (net.Conn, error) {
-		near, far := net.Pipe()
-		go func() { _, _ = io.Copy(io.Discard, far) }()
-		return near, nil
-	}})
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer cancel()
-	if _, err := p.Send(ctx, Target{ID: "u", Address: "u:80"}, request("1")); err == nil {
-		t.Error("the send succeeded")
-	}
-	if p.NotReset() != 1 {
-		t.Errorf("%d connections are counted, want 1", p.NotReset())
-	}
+	synctest.Test(t, func(t *testing.T) {
+		p := &Pool{}
+		p.SetHooks(Hooks{Dial: func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			return near, nil
+		}})
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		if _, err := p.Send(ctx, Target{ID: "u", Address: "u:80"}, request("1")); err == nil {
+			t.Error("the send succeeded")
+		}
+		if p.NotReset() != 1 {
+			t.Errorf("%d connections are counted, want 1", p.NotReset())
+		}
+	})
 }
