Read short bodies of unknown length in small parts

Cause: the first part of such a body had 64 KB, also for a body of a few bytes. Small VMs allocate that much for each request. Change: the first part has 4 KB, and each further one twice as much, up to 64 KB. Result: 10 bytes reserve 4,096 bytes instead of 65,536. The table of TestChunkedBodyUsesWhatItReserves failed before.

--- a/internal/fggateway/body.go
+++ b/internal/fggateway/body.go
@@ -14,9 +14,11 @@
 	// bodyMemoryDivisor. Earlier bodies that are not yet garbage collected need the
 	// same amount again.
 	bodyMemoryDivisor = 4
-	// bodyChunkBytes is how much memory is reserved at a time for a body of unknown
-	// length.
-	bodyChunkBytes = 64 << 10
+	// A body of unknown length is read in parts, and their memory is reserved as they
+	// are read. Each part is twice as large as the one before, up to bodyChunkBytes:
+	// most bodies are short, and the memory of large ones is known within 64 KB.
+	firstChunkBytes = 4 << 10
+	bodyChunkBytes  = 64 << 10
 	// memoryRetryAfter is the Retry-After value for requests that are refused because
 	// the bodies in flight use all of their memory: transferring a large body takes
 	// seconds.
@@ -73,7 +75,7 @@
 }
 
 // receiveBody reads a body. A negative length means that it is unknown. Such a body is
-// returned in parts of bodyChunkBytes, because a slice that grows needs up to three times
+// returned in parts of up to bodyChunkBytes, because a slice that grows needs up to three times
 // the memory while it is copied. The number of reserved bytes is added to reserved.
 func (g *Gateway) receiveBody(body io.Reader, length, limit int64, reserved *int64) ([][]byte, error) {
 	reserve := func(n int64) error {
@@ -92,11 +94,11 @@
 		return [][]byte{data}, err
 	}
 	var parts [][]byte
-	for {
-		if err := reserve(bodyChunkBytes); err != nil {
+	for size := int64(firstChunkBytes); ; size = min(2*size, bodyChunkBytes) {
+		if err := reserve(size); err != nil {
 			return nil, err
 		}
-		part := make([]byte, bodyChunkBytes)
+		part := make([]byte, size)
 		n, err := readUntilFull(body, part)
 		parts = append(parts, part[:n])
 		if errors.Is(err, io.EOF) {
--- a/internal/fggateway/body_test.go
+++ b/internal/fggateway/body_test.go
@@ -95,27 +95,39 @@
 	}
 }
 
-// Guards against a chunked body that uses more memory than it reserves, and against parts
-// that are lost or a body that is cut off and taken for a whole one.
+// Guards against a chunked body that uses more memory than it reserves, a short one that
+// uses as much as a large one, and against parts that are lost or a body that is cut off
+// and taken for a whole one.
 func TestChunkedBodyUsesWhatItReserves(t *testing.T) {
-	const size = 8<<20 + 1000
-	var g Gateway
-	var reserved int64
-	body := bytes.Repeat([]byte("0123456789"), size/10)
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	parts, err := g.receiveBody(bytes.NewReader(body), -1, 16<<20, &reserved)
-	runtime.ReadMemStats(&after)
-	if err != nil || !bytes.Equal(bytes.Join(parts, nil), body) {
-		t.Errorf("error %v, the body is changed", err)
+	tests := []struct{ size, reserved int64 }{
+		{0, 4 << 10}, {10, 4 << 10}, {4<<10 - 1, 4 << 10}, {4 << 10, 12 << 10}, {100 << 10, 124 << 10}, {8<<20 + 1000, 8<<20 + 60<<10},
 	}
-	// The list of the parts, and what the test framework allocates meanwhile.
-	const slack = 256 << 10
-	if used := int64(after.TotalAlloc - before.TotalAlloc); used > reserved+slack {
-		t.Errorf("%d bytes were allocated, %d reserved", used, reserved)
+	for _, tt := range tests {
+		var g Gateway
+		var reserved int64
+		body := bytes.Repeat([]byte("0123456789"), int(tt.size/10+1))[:tt.size]
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		parts, err := g.receiveBody(bytes.NewReader(body), -1, 16<<20, &reserved)
+		runtime.ReadMemStats(&after)
+		if err != nil || !bytes.Equal(bytes.Join(parts, nil), body) {
+			t.Errorf("%d bytes: error %v, or the body is changed", tt.size, err)
+		}
+		if reserved != tt.reserved {
+			t.Errorf("%d bytes: %d bytes were reserved, want %d", tt.size, reserved, tt.reserved)
+		}
+		// The list of the parts, and what the test framework allocates meanwhile.
+		const slack = 256 << 10
+		if used := int64(after.TotalAlloc - before.TotalAlloc); used > reserved+slack {
+			t.Errorf("%d bytes: %d bytes were allocated, %d reserved", tt.size, used, reserved)
+		}
 	}
-	cut := io.MultiReader(bytes.NewReader(body[:1000]), iotest.ErrReader(io.ErrUnexpectedEOF))
-	if _, err := g.receiveBody(cut, -1, 16<<20, &reserved); !errors.Is(err, io.ErrUnexpectedEOF) {
-		t.Errorf("a body that is cut off: error %v", err)
+	var g Gateway
+	var reserved int64
+	for _, size := range []int64{10, 1000, 100 << 10} {
+		cut := io.MultiReader(bytes.NewReader(make([]byte, size)), iotest.ErrReader(io.ErrUnexpectedEOF))
+		if _, err := g.receiveBody(cut, -1, 16<<20, &reserved); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("a body that is cut off after %d bytes: error %v", size, err)
+		}
 	}
 }
