Close connections that return to a closing pool

Cause: the end of Run closed the idle connections before it marked the pool as closed. A connection that was returned in between stayed open. Change: the pool is marked first.

--- a/internal/transport/fgpool/pool.go
+++ b/internal/transport/fgpool/pool.go
@@ -265,15 +265,16 @@
 	}
 }
 
-// close closes the idle connections and ends all exchanges.
+// close closes the idle connections and ends all exchanges. closed is set before the idle
+// connections are closed, so that put adds none afterwards.
 func (p *Pool) close() {
-	p.sweep(time.Time{})
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closed = true
 	for x := range p.active {
 		x.cancel(merry.Wrap(ErrWithdrawn))
 	}
+	p.mu.Unlock()
+	p.sweep(time.Time{})
 }
 
 // sweep closes the idle connections that expired before now, or all of them if
--- a/internal/transport/fgpool/pool_test.go
+++ b/internal/transport/fgpool/pool_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -341,3 +343,35 @@
 		t.Error("idle connections to an upstream that does not respond were kept")
 	}
 }
+
+// Guards against a connection that is returned to the pool while it closes, and is never
+// closed.
+func TestCloseLeavesNoIdleConnection(t *testing.T) {
+	for range 100 {
+		p := &Pool{}
+		closed := make(chan struct{})
+		var returns sync.WaitGroup
+		for range 4 {
+			returns.Go(func() {
+				near, _ := net.Pipe()
+				for {
+					select {
+					case <-closed:
+						return
+					default:
+						p.put(Target{ID: "u"}.key(), newConn(near))
+					}
+				}
+			})
+		}
+		for !p.HasIdle(Target{ID: "u"}) {
+			runtime.Gosched()
+		}
+		p.close()
+		close(closed)
+		returns.Wait()
+		if n := len(p.idle[Target{ID: "u"}.key()]); n > 0 {
+			t.Fatalf("%d connections are left", n)
+		}
+	}
+}
