Wait for events in TestCallerLeavesBeforeSend

Cause: the partition ended 100 to 400 ms of wall clock after the caller had left. On a loaded machine the gateway may notice that later, and the test fails without a fault. Change: the partition ends after the request has ended, which must be within 2 s. The connect timeout is 3 s, so that it cannot end the request before.

--- a/internal/fggateway/withdraw_test.go
+++ b/internal/fggateway/withdraw_test.go
@@ -112,6 +112,8 @@
 func TestCallerLeavesBeforeSend(t *testing.T) {
 	for _, warm := range []bool{false, true} {
 		env, g, h := heldEnv(t)
+		// Nothing but the caller's leaving ends the request within 3 s.
+		g.pool.SetConnectTimeout(3 * time.Second)
 		if warm {
 			if res := g.mustCall(t, http.MethodPut, "/write/x", "T-Id", "warm"); res.status != http.StatusOK {
 				t.Fatalf("status %d before the partition", res.status)
@@ -131,14 +133,12 @@
 			_ = res.Body.Close()
 			t.Fatalf("status %d through the partition", res.StatusCode)
 		}
-		// Before the connect timeout of 500 ms for the one that was not sent.
-		wait := 100 * time.Millisecond
-		if warm {
-			wait = 400 * time.Millisecond
+		left := time.Now()
+		env.eventually("the request has ended", func() bool { return len(env.logs.find("request ended", `"left"`, string(codeCallerLeft))) == 1 })
+		if took := time.Since(left); took > 2*time.Second {
+			t.Errorf("warm %v: the request ended %v after its caller had left", warm, took)
 		}
-		time.Sleep(wait)
 		h.partition(false)
-		env.eventually("the request has ended", func() bool { return len(env.logs.find("request ended", `"left"`, string(codeCallerLeft))) == 1 })
 		time.Sleep(100 * time.Millisecond)
 		if h.has("left") {
 			t.Errorf("warm %v: the request ran after its caller had left", warm)
