Test the hash of a body in parts

Cause: the hash takes the body in parts, and gateways of two versions compare it. Change: TestRequestHashIgnoresParts, whose value is that of the version without parts. Result: passes; fails if only the first part is hashed.

--- a/internal/state/fgsuspect/crashes_test.go
+++ b/internal/state/fgsuspect/crashes_test.go
@@ -109,3 +109,16 @@
 		}
 	})
 }
+
+// Guards against a hash that depends on how a body was read, or differs from that of other
+// versions, which count crashes of the same request.
+func TestRequestHashIgnoresParts(t *testing.T) {
+	const want = uint64(0x44cdaf83daa2b3c1)
+	for _, parts := range [][][]byte{
+		{[]byte("body")}, {[]byte("b"), []byte("ody")}, {nil, []byte("body"), {}}, {[]byte("b"), []byte("o"), []byte("d"), []byte("y")},
+	} {
+		if got := RequestHash("PUT", "/x", "w", parts...); got != want {
+			t.Errorf("%q: hash %#x, want %#x", parts, got, want)
+		}
+	}
+}
