Bound TestUnacknowledgedOnTCP

Cause: without its mechanism the test never ended, and its failure was a time limit of the whole package. Change: it waits at most 20 s and says what is missing.

--- a/internal/transport/fgpool/withdraw_test.go
+++ b/internal/transport/fgpool/withdraw_test.go
@@ -220,16 +220,25 @@
 		_, err := c.Write(make([]byte, 32<<20))
 		written <- err
 	}()
-	for c.unacknowledged() == 0 {
+	// Ends a test that would wait forever.
+	limit, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	for c.unacknowledged() == 0 && limit.Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
+	if limit.Err() != nil {
+		t.Error("no bytes are unacknowledged, and nobody reads them")
+	}
 	close(release)
 	if err := <-written; err != nil {
 		t.Fatal(err)
 	}
-	for c.unacknowledged() > 0 {
+	for c.unacknowledged() > 0 && limit.Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
+	if n := c.unacknowledged(); n > 0 {
+		t.Errorf("%d bytes are unacknowledged after all were read", n)
+	}
 }
 
 // Guards against a connection that cannot be reset and is not counted.
