Count crashes of upstreams by their starts, and renew blocks

Cause: a request counted as crashing by the addresses that it had crashed. In a group of two upstreams it was never blocked, and once all addresses were known, nothing renewed its block of 30 s. The table of 64 requests was too small for a zone's crash, reports had no ages, so that a restarted gateway began a new block, and a late report undid a completion.

Change: the n-th crash at an address has its own identifier, the same at all gateways, so that the union of reports counts each crash once. A send that began before the latest known crash at its address has seen that one. Each further crash doubles the block, up to 16 min. A gateway that starts gets all entries with the next states. A request that completes while a crash is being checked is cleared of it, and retries stop once the request is blocked.

--- a/internal/fggateway/crash.go
+++ b/internal/fggateway/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -27,26 +28,28 @@
 	if g.crashes.Empty() {
 		return nil
 	}
-	n, blocked := g.crashes.Blocked(q.hash(r))
-	if !blocked {
+	n, remaining := g.crashes.BlockRemaining(q.hash(r))
+	if remaining <= 0 {
 		return nil
 	}
 	return &refusal{
-		status: http.StatusServiceUnavailable, code: codeCrashes, retryAfter: fgsuspect.BlockDuration,
+		status: http.StatusServiceUnavailable, code: codeCrashes, retryAfter: remaining + rand.N(remaining/10+1),
 		reason: fmt.Sprintf("identical requests crashed %d upstreams", n),
 	}
 }
 
-// checkForCrash probes an upstream that broke the connection during a request, and
-// records a crash if it does not accept a new connection.
-func (g *Gateway) checkForCrash(r *http.Request, q *request, u *fgaffinity.Upstream) {
-	spec, hash, attempt := u.Spec(), q.hash(r), q.AttemptID
+// checkForCrash probes an upstream that broke the connection of a send which began at a
+// time, and records a crash if it does not accept a new connection.
+func (g *Gateway) checkForCrash(r *http.Request, q *request, u *fgaffinity.Upstream, sent time.Time) {
+	spec, attempt := u.Spec(), q.AttemptID
+	check := g.crashes.BeginCheck(q.hash(r), spec.Address, sent)
 	time.AfterFunc(0, func() {
 		probeResult := g.pool.Probe(context.Background(), upstreamTarget(spec))
 		if probeResult == fgpool.Connected {
+			check.Dismiss()
 			return
 		}
-		n := g.crashes.RecordCrash(hash, spec.Address)
+		n := check.Crashed()
 		if skipped, ok := g.logSamplers.failed.Allow(time.Now()); ok {
 			g.logger.Info("upstream exited while it ran a request", "attempt", attempt, "upstream", spec.ID, "address", spec.Address,
 				"sign", probeResult.String(), "upstreamsCrashed", n, "skippedLines", skipped)
@@ -66,7 +69,11 @@
 func (g *Gateway) crashReports() []*fgwire.RequestCrash {
 	var reports []*fgwire.RequestCrash
 	for _, c := range g.crashes.Report() {
-		reports = append(reports, &fgwire.RequestCrash{Request: c.Request, Upstreams: c.Upstreams, Cleared: c.Cleared})
+		m := &fgwire.RequestCrash{Request: c.Request, Upstreams: c.Starts, Cleared: c.Cleared, ClearedUpstreams: c.ClearedStarts}
+		for _, age := range c.Ages {
+			m.AgesMs = append(m.AgesMs, uint32(age.Milliseconds()))
+		}
+		reports = append(reports, m)
 	}
 	return reports
 }
@@ -77,8 +84,11 @@
 		return
 	}
 	crashes := make([]fgsuspect.Crash, len(reports))
-	for i, c := range reports {
-		crashes[i] = fgsuspect.Crash{Request: c.GetRequest(), Upstreams: c.GetUpstreams(), Cleared: c.GetCleared()}
+	for i, m := range reports {
+		crashes[i] = fgsuspect.Crash{Request: m.GetRequest(), Starts: m.GetUpstreams(), ClearedStarts: m.GetClearedUpstreams(), Cleared: m.GetCleared()}
+		for _, age := range m.GetAgesMs() {
+			crashes[i].Ages = append(crashes[i].Ages, time.Duration(age)*time.Millisecond)
+		}
 	}
 	g.crashes.ApplyReport(crashes)
 }
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -134,6 +134,9 @@
 		p.firstReceived = now
 	}
 	old, ok := p.states[s.GetVm()]
+	if old.incarnation != s.GetIncarnation() {
+		g.crashes.RepeatReports()
+	}
 	if !ok || old.incarnation != s.GetIncarnation() || old.leaving != s.GetLeaving() || old.noPath != s.GetNoPath() {
 		g.logger.Info("gateway state changed", "vm", s.GetVm(), "incarnation", s.GetIncarnation(), "leaving", s.GetLeaving(), "noPath", s.GetNoPath())
 	}
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -114,7 +114,7 @@
 		if next != nil {
 			continue
 		}
-		if o.final || ctx.Err() != nil || !g.mayRetry(q) || !g.retryBudget.TakeRetry(q.group) {
+		if o.final || ctx.Err() != nil || !g.mayRetry(q) || g.refuseCrashing(r, q) != nil || !g.retryBudget.TakeRetry(q.group) {
 			break
 		}
 	}
@@ -200,7 +200,7 @@
 	inTime, next := w.stop()
 	if err != nil {
 		cancel()
-		result := g.recordSendFailure(r, q, u, next != nil, err)
+		result := g.recordSendFailure(r, q, u, start, next != nil, err)
 		return sendOutcome{result: result, refusal: q.failureRefusal(next != nil, err), next: next}
 	}
 	if next != nil {
@@ -234,8 +234,9 @@
 	g.metrics.SendEnded(group, r.String())
 }
 
-// recordSendFailure records a send without a response, and returns its result.
-func (g *Gateway) recordSendFailure(r *http.Request, q *request, u *fgaffinity.Upstream, abandoned bool, err error) fgaffinity.Result {
+// recordSendFailure records a send that began at a time and got no response, and returns
+// its result.
+func (g *Gateway) recordSendFailure(r *http.Request, q *request, u *fgaffinity.Upstream, start time.Time, abandoned bool, err error) fgaffinity.Result {
 	result := fgaffinity.Lost
 	switch {
 	case r.Context().Err() != nil:
@@ -252,7 +253,7 @@
 		q.mayHaveRun = true
 	}
 	if result == fgaffinity.Lost {
-		g.checkForCrash(r, q, u)
+		g.checkForCrash(r, q, u, start)
 	}
 	g.finishSend(u, q.group, result)
 	if skipped, ok := g.logSamplers.failed.Allow(time.Now()); ok {
--- a/internal/state/fgsuspect/crashes.go
+++ b/internal/state/fgsuspect/crashes.go
@@ -1,8 +1,7 @@
 package fgsuspect
 
 import (
-	"maps"
-	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,56 +14,66 @@
 	// blocked. With 2, requests would be blocked that were in flight at two
 	// upstreams which failed for other reasons.
 	crashesToBlock = 3
-	// BlockDuration is how long a request is blocked after its latest crash. The
-	// crash of a further upstream blocks it again.
-	BlockDuration = 30 * time.Second
-	// crashLifetime is how long the crashes of a request are kept after the latest.
+	// BlockDuration is how long a request is blocked after its third crash. Each further
+	// crash blocks it again, twice as long each time up to maxBlockDuration: with equal
+	// durations a caller that goes on crashes an upstream every 30 s.
+	BlockDuration    = 30 * time.Second
+	maxBlockDuration = 16 * time.Minute
+	// crashLifetime is how long the crashes of a request are kept after the latest, or
+	// after the end of its block.
 	crashLifetime = 2 * time.Minute
-	// clearedLifetime is how long crash reports of a request are ignored after it
-	// has completed, since outdated reports may still arrive.
-	clearedLifetime = 2 * time.Second
-	// reportsPerChange is the number of consecutive reports that contain a change,
-	// because reports may be lost. Every fullReportInterval-th report contains all
-	// entries.
-	reportsPerChange   = 3
-	fullReportInterval = 10
-	// maxRequests bounds the table and thereby the size of reports.
-	maxRequests = 64
+	// expiredLifetime is how long an expired entry is kept so that reports without ages,
+	// of VMs which learned of the crashes later, do not bring it back.
+	expiredLifetime = 10 * time.Second
+	// sameCrashMargin is how long after a crash of an upstream sends may begin whose loss
+	// is attributed to that crash: a kept connection may be used before its end is
+	// noticed. An upstream that crashed takes longer than that to start again.
+	sameCrashMargin = time.Second
+	// maxStarts bounds the crashes that are kept of one request. The latest are kept.
+	maxStarts = 16
+	// maxRequests bounds the table. Every request in flight at an upstream that crashes
+	// takes an entry of about 0.4 kB, so that 64 entries were too few for the crash of a
+	// zone.
+	maxRequests = 1024
 )
 
-// Crash reports the upstreams that crashed while they ran a request.
-type Crash struct {
-	// Request is a hash of the request; Upstreams are hashes of their addresses.
-	Request   uint64
-	Upstreams []uint32
-	// Cleared means that the request has completed since.
-	Cleared bool
-}
-
 // Crashes detects requests that crash every upstream that runs them, from the
 // crashes that all VMs report. The zero value is ready to use.
+//
+// It counts starts of upstreams, since an upstream may crash again under the same
+// address. The n-th crash at an address has the same identifier at each VM that sees it,
+// so that the union of what VMs report counts a crash once.
 type Crashes struct {
-	// size is the number of entries. It lets Empty avoid the lock, as the table is
-	// almost always empty.
+	// size is the number of entries and pending checks. It lets Empty avoid the lock, as
+	// the table is almost always empty.
 	size atomic.Int64
 
-	mu          sync.Mutex
-	entries     map[uint64]*requestCrashes
-	reportCount int
+	mu      sync.Mutex
+	entries map[uint64]*requestCrashes
+	checks  map[uint64]*pendingChecks
+	// cursor is the last request that a report contained because of the regular repetition
+	// of all entries.
+	cursor    uint64
+	hasCursor bool
+}
+
+// crash is the crash of one start of an upstream.
+type crash struct {
+	at time.Time
+	// cleared means that the request has completed since.
+	cleared bool
 }
 
-// requestCrashes holds the upstreams that one request has crashed.
+// requestCrashes holds the crashes of one request by the identifier of the start.
 type requestCrashes struct {
-	upstreams map[uint32]struct{}
-	// lastChange is when the latest crashed upstream was added or the request
-	// completed.
-	lastChange time.Time
-	// cleared is when the request completed. It is zero after a later crash.
-	cleared time.Time
+	starts map[uint32]crash
 	// pendingReports is the number of further reports that must contain the entry.
 	pendingReports int
 }
 
+// pendingChecks are the checks of one request that have not ended.
+type pendingChecks struct{ count, completions int }
+
 // RequestHash returns a hash that is the same for equal requests of a workspace.
 func RequestHash(method, uri, workspace string, body []byte) uint64 {
 	d := xxhash.New()
@@ -76,25 +85,83 @@
 	return d.Sum64()
 }
 
-// Empty reports whether no crash of any request is known.
+// startID identifies the n-th counted crash at an address. The first has the hash of the
+// address alone, which is what the previous version reports.
+func startID(address string, n int) uint32 {
+	if n > 1 {
+		address += "#" + strconv.Itoa(n)
+	}
+	return uint32(xxhash.Sum64String(address))
+}
+
+// Empty reports whether no crash of any request is known or being checked.
 func (c *Crashes) Empty() bool { return c.size.Load() == 0 }
 
-// RecordCrash records that an upstream crashed while it ran a request. It returns
-// the number of upstreams that the request has crashed.
-func (c *Crashes) RecordCrash(request uint64, address string) int {
+// Check is a check whether an upstream crashed while it ran a request. It must be ended
+// by Crashed or Dismiss.
+type Check struct {
+	crashes     *Crashes
+	request     uint64
+	address     string
+	sent        time.Time
+	completions int
+}
+
+// BeginCheck begins a check after a connection broke. The send on it began at a time.
+func (c *Crashes) BeginCheck(request uint64, address string, sent time.Time) *Check {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.checks == nil {
+		c.checks = map[uint64]*pendingChecks{}
+	}
+	p := c.checks[request]
+	if p == nil {
+		p = &pendingChecks{}
+		c.checks[request] = p
+	}
+	p.count++
+	c.updateSize()
+	return &Check{crashes: c, request: request, address: address, sent: sent, completions: p.completions}
+}
+
+// end ends the check and reports whether the request has completed meanwhile. c.mu is held.
+func (k *Check) end() (completed bool) {
+	p := k.crashes.checks[k.request]
+	if p.count--; p.count == 0 {
+		delete(k.crashes.checks, k.request)
+	}
+	k.crashes.updateSize()
+	return p.completions > k.completions
+}
+
+// Dismiss ends the check because the upstream did not crash.
+func (k *Check) Dismiss() {
+	k.crashes.mu.Lock()
+	defer k.crashes.mu.Unlock()
+	k.end()
+}
+
+// Crashed ends the check because the upstream crashed. It returns the number of crashes
+// that count against the request. One that completed during the check is cleared.
+func (k *Check) Crashed() int {
+	c := k.crashes
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e := c.entry(request)
-	e.add(uint32(xxhash.Sum64String(address)))
+	completed := k.end()
+	e := c.entry(k.request)
+	e.record(k.address, k.sent, completed)
 	e.pendingReports = reportsPerChange
-	return len(e.upstreams)
+	return e.count(time.Now())
 }
 
 // RecordCompletion records that an upstream completed a request, which clears it.
 func (c *Crashes) RecordCompletion(request uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e := c.entries[request]; e != nil && e.cleared.IsZero() {
+	if p := c.checks[request]; p != nil {
+		p.completions++
+	}
+	if e := c.entries[request]; e != nil && e.count(time.Now()) > 0 {
 		e.clear()
 		e.pendingReports = reportsPerChange
 	}
@@ -103,52 +170,21 @@
 // Blocked returns how many upstreams a request has crashed, and reports whether
 // it is blocked.
 func (c *Crashes) Blocked(request uint64) (int, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	e := c.entries[request]
-	if e == nil {
-		return 0, false
-	}
-	n := len(e.upstreams)
-	return n, n >= crashesToBlock && time.Since(e.lastChange) < BlockDuration
+	n, remaining := c.BlockRemaining(request)
+	return n, remaining > 0
 }
 
-// Report returns the entries to send to the other VMs in the next report.
-func (c *Crashes) Report() []Crash {
+// BlockRemaining returns how many upstreams a request has crashed, and how long it
+// remains blocked. Zero means that it is not blocked.
+func (c *Crashes) BlockRemaining(request uint64) (int, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sweep()
-	c.reportCount++
-	var all []Crash
-	for request, e := range c.entries {
-		if e.pendingReports == 0 && c.reportCount%fullReportInterval != 0 {
-			continue
-		}
-		e.pendingReports = max(0, e.pendingReports-1)
-		all = append(all, Crash{Request: request, Upstreams: slices.Sorted(maps.Keys(e.upstreams)), Cleared: !e.cleared.IsZero()})
-	}
-	return all
-}
-
-// ApplyReport applies a report of another VM.
-func (c *Crashes) ApplyReport(crashes []Crash) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, crash := range crashes {
-		if crash.Cleared {
-			if e := c.entries[crash.Request]; e != nil && e.cleared.IsZero() {
-				e.clear()
-			}
-			continue
-		}
-		e := c.entry(crash.Request)
-		if time.Since(e.cleared) < clearedLifetime {
-			continue
-		}
-		for _, u := range crash.Upstreams {
-			e.add(u)
-		}
+	e := c.entries[request]
+	if e == nil {
+		return 0, 0
 	}
+	now := time.Now()
+	return e.count(now), max(0, e.blockedUntil().Sub(now))
 }
 
 // entry returns the entry of a request and creates it if necessary. c.mu is held.
@@ -159,51 +195,156 @@
 	e := c.entries[request]
 	if e == nil {
 		if len(c.entries) >= maxRequests {
-			c.evictOldest()
+			delete(c.entries, c.victim())
 		}
-		e = &requestCrashes{upstreams: map[uint32]struct{}{}, lastChange: time.Now()}
+		e = &requestCrashes{starts: map[uint32]crash{}}
 		c.entries[request] = e
-		c.size.Store(int64(len(c.entries)))
+		c.updateSize()
 	}
 	return e
 }
 
-// add records that the request crashed an upstream. An upstream that is already
-// recorded changes nothing.
-func (e *requestCrashes) add(upstream uint32) {
-	if _, ok := e.upstreams[upstream]; ok {
+// updateSize sets size. c.mu is held.
+func (c *Crashes) updateSize() { c.size.Store(int64(len(c.entries) + len(c.checks))) }
+
+// sweep deletes expired entries. c.mu is held.
+func (c *Crashes) sweep(now time.Time) {
+	for request, e := range c.entries {
+		if now.Sub(e.expires()) >= expiredLifetime {
+			delete(c.entries, request)
+		}
+	}
+	c.updateSize()
+}
+
+// victim returns the request whose entry is the first to be evicted. c.mu is held.
+func (c *Crashes) victim() uint64 {
+	now := time.Now()
+	var first uint64
+	var firstEntry *requestCrashes
+	for request, e := range c.entries {
+		if firstEntry == nil || e.evictedBefore(firstEntry, now) {
+			first, firstEntry = request, e
+		}
+	}
+	return first
+}
+
+// evictedBefore orders entries for eviction: unblocked ones by their latest crash, and then
+// blocked ones by the end of the block.
+func (e *requestCrashes) evictedBefore(o *requestCrashes, now time.Time) bool {
+	end, otherEnd := e.blockedUntil(), o.blockedUntil()
+	blocked, otherBlocked := now.Before(end), now.Before(otherEnd)
+	switch {
+	case blocked != otherBlocked:
+		return otherBlocked
+	case blocked:
+		return end.Before(otherEnd)
+	default:
+		return e.lastCrash().Before(o.lastCrash())
+	}
+}
+
+// record records a crash at an address that a send which began at a time has seen. If the
+// send began before the latest crash there, it has seen that one.
+func (e *requestCrashes) record(address string, sent time.Time, cleared bool) {
+	now := time.Now()
+	if !now.Before(e.expires()) {
+		clear(e.starts)
+	}
+	last, id := 0, uint32(0)
+	for n := 1; n <= 4*maxStarts; n++ {
+		if _, ok := e.starts[startID(address, n)]; ok {
+			last, id = n, startID(address, n)
+		}
+	}
+	if last == 0 || sent.Sub(e.starts[id].at) > sameCrashMargin {
+		e.add(startID(address, last+1), crash{at: now, cleared: cleared})
 		return
 	}
-	e.upstreams[upstream] = struct{}{}
-	e.lastChange, e.cleared = time.Now(), time.Time{}
+	if cleared {
+		e.add(id, crash{at: e.starts[id].at, cleared: true})
+	}
 }
 
-// clear forgets the crashed upstreams because the request has completed.
+// add adds a crash, or merges it with what is known of it. VMs learn of a crash at
+// different times, of which the earliest counts: otherwise each report would extend the
+// block by its delay. It drops the oldest crash above maxStarts.
+func (e *requestCrashes) add(id uint32, c crash) {
+	if known, ok := e.starts[id]; ok {
+		if known.at.Before(c.at) {
+			c.at = known.at
+		}
+		c.cleared = c.cleared || known.cleared
+		e.starts[id] = c
+		return
+	}
+	if len(e.starts) >= maxStarts {
+		oldest, at := uint32(0), c.at
+		for known, k := range e.starts {
+			if k.at.Before(at) {
+				oldest, at = known, k.at
+			}
+		}
+		if at.Equal(c.at) {
+			return
+		}
+		delete(e.starts, oldest)
+	}
+	e.starts[id] = c
+}
+
+// clear clears the request of all known crashes because it has completed.
 func (e *requestCrashes) clear() {
-	clear(e.upstreams)
-	e.lastChange, e.cleared = time.Now(), time.Now()
+	for id, c := range e.starts {
+		c.cleared = true
+		e.starts[id] = c
+	}
 }
 
-// sweep deletes expired entries. c.mu is held.
-func (c *Crashes) sweep() {
-	for request, e := range c.entries {
-		age := time.Since(e.lastChange)
-		if age > crashLifetime || !e.cleared.IsZero() && age > clearedLifetime {
-			delete(c.entries, request)
+// counted returns the number of crashes that are not cleared, and the time of the latest.
+func (e *requestCrashes) counted() (n int, last time.Time) {
+	for _, c := range e.starts {
+		if c.cleared {
+			continue
+		}
+		n++
+		if c.at.After(last) {
+			last = c.at
 		}
 	}
-	c.size.Store(int64(len(c.entries)))
+	return n, last
 }
 
-// evictOldest deletes the entry that has not changed for the longest time. c.mu is
-// held.
-func (c *Crashes) evictOldest() {
-	var oldest uint64
-	var oldestChange time.Time
-	for request, e := range c.entries {
-		if oldestChange.IsZero() || e.lastChange.Before(oldestChange) {
-			oldest, oldestChange = request, e.lastChange
+// count returns the number of crashes that count at a time.
+func (e *requestCrashes) count(now time.Time) int {
+	if !now.Before(e.expires()) {
+		return 0
+	}
+	n, _ := e.counted()
+	return n
+}
+
+// lastCrash returns the time of the latest crash, cleared or not.
+func (e *requestCrashes) lastCrash() time.Time {
+	var last time.Time
+	for _, c := range e.starts {
+		if c.at.After(last) {
+			last = c.at
 		}
 	}
-	delete(c.entries, oldest)
+	return last
 }
+
+// blockedUntil returns the end of the block, or the time of the latest crash if there is
+// none.
+func (e *requestCrashes) blockedUntil() time.Time {
+	n, last := e.counted()
+	if n < crashesToBlock {
+		return e.lastCrash()
+	}
+	return last.Add(min(BlockDuration<<min(n-crashesToBlock, maxStarts), maxBlockDuration))
+}
+
+// expires returns the time after which the crashes no longer count.
+func (e *requestCrashes) expires() time.Time { return e.blockedUntil().Add(crashLifetime) }
