Run suspects that a peer placed at their owner only

Cause: the VM that a request had been placed at retried it there after its upstream crashed. It had become a suspect meanwhile, and the check for the VM that runs the region's suspects left out placed requests. A trace shows two VMs that each ran a suspect 'isolated' on the same upstream within 1 ms, the harmless one and the crashing one; the crash convicted both. A request that became a suspect between its placement and its start took the same way.

Change: a VM that is not the owner refuses a placed suspect, which the VM that placed it sends to the owner. A request that was placed before it became a suspect is placed again.

TestPlacedSuspectRunsAtItsOwnerOnly ran the suspect at 3 VMs without the change.

--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -160,7 +160,7 @@
 	if status == fgsuspect.Blocked {
 		return sendResult{}, crashesUpstreams()
 	}
-	if status == fgsuspect.Suspect && c.hop != hopPlacement {
+	if status == fgsuspect.Suspect {
 		if owner, ok := e.suspectOwner(c); ok {
 			return e.sendToSuspectOwner(w, r, c, owner, exclude)
 		}
@@ -177,7 +177,7 @@
 	}
 	switch t := t.(type) {
 	case localTarget:
-		return e.sendLocal(w, r, c, t), nil
+		return e.sendLocal(w, r, c, t, status == fgsuspect.Suspect), nil
 	case peerTarget:
 		if c.hop == hopPlacement {
 			// A peer has already placed the request once. It is not forwarded
@@ -278,8 +278,9 @@
 	return out
 }
 
-// sendLocal sends a call to an upstream and copies its response.
-func (e *Entry) sendLocal(w http.ResponseWriter, r *http.Request, c *call, t localTarget) sendResult {
+// sendLocal sends a call to an upstream and copies its response. suspect means that the
+// call was placed as a suspect.
+func (e *Entry) sendLocal(w http.ResponseWriter, r *http.Request, c *call, t localTarget, suspect bool) sendResult {
 	s := sendResult{targetNames: []string{t.upstream.Name()}, result: resultCancelled}
 	// A crashed upstream refuses connections, so it is reported to the placer
 	// as unreachable. The request's own result stays resultLost, because it may
@@ -292,7 +293,7 @@
 		}
 		t.done(s.result)
 	}()
-	run, err := e.suspects.Start(t.upstream.Name(), c.fingerprint)
+	run, err := e.suspects.Start(t.upstream.Name(), c.fingerprint, suspect)
 	switch {
 	case errors.Is(err, fgsuspect.ErrBusy), errors.Is(err, fgsuspect.ErrRunning):
 		s.identicalRunning = errors.Is(err, fgsuspect.ErrRunning)
--- a/internal/fgentry/send_test.go
+++ b/internal/fgentry/send_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
 	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
@@ -327,6 +329,33 @@
 	}
 }
 
+// Guards against a VM that runs a suspect which a peer placed there, although another VM
+// runs the region's suspects.
+func TestPlacedSuspectRunsAtItsOwnerOnly(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	fingerprint, refused := fgsuspect.Fingerprint{1}, 0
+	for _, e := range f.entries {
+		e.suspects.Merge([]fgsuspect.State{fgsuspect.NewState(fingerprint, fgsuspect.Suspect)})
+		r := httptest.NewRequest("GET", "/browse/x", nil)
+		w := httptest.NewRecorder()
+		c := &call{
+			snapshot: e.config.State(), hop: hopPlacement, workspace: "office", fingerprint: fingerprint,
+			route: e.config.State().Route("/browse/x"), admittedAt: time.Now(), sendContext: t.Context(), body: &requestBody{complete: true},
+		}
+		var p *fgproblem.Problem
+		switch s, err := e.placeAndSend(w, r, c, nil); {
+		case errors.As(err, &p) && p.Outcome() == fgproblem.NotRun:
+			refused++
+		case err != nil || s.err != nil || w.Code != 200:
+			t.Errorf("status %d, errors %v and %v", w.Code, err, s.err)
+		}
+		e.suspects.Merge([]fgsuspect.State{fgsuspect.NewState(fingerprint, fgsuspect.Clear)})
+	}
+	if n := f.countRuns("/browse/x"); n != 1 || refused != 2 {
+		t.Errorf("run by %d VMs and refused by %d, want 1 and 2", n, refused)
+	}
+}
+
 // Guards against sending further requests to a crashed upstream: in a group
 // with two of them, both sends of a request could go to crashed upstreams.
 func TestCrashedUpstreamBacksOff(t *testing.T) {
--- a/internal/fgentry/suspectservice.go
+++ b/internal/fgentry/suspectservice.go
@@ -100,9 +100,12 @@
 }
 
 // sendToSuspectOwner sends a suspected call to the VM that runs the region's
-// suspects. If that VM cannot take the call, it is refused and not run here.
+// suspects. If that VM cannot take the call, it is refused and not run here. So is a call
+// that a peer placed here: it may have become a suspect here, and the peer sends it to
+// the owner. When it ran here, beside a suspect of the owner on the same upstream, the
+// crash caused by one blocked the other.
 func (e *Entry) sendToSuspectOwner(w http.ResponseWriter, r *http.Request, c *call, owner fgmember.Member, exclude map[string]bool) (sendResult, error) {
-	if exclude[owner.Incarnation] {
+	if c.hop == hopPlacement || exclude[owner.Incarnation] {
 		return sendResult{}, suspectInProgress()
 	}
 	return e.sendPeer(w, r, c, peerTarget{member: owner, done: func(result) {}}), nil
--- a/internal/state/fgsuspect/table.go
+++ b/internal/state/fgsuspect/table.go
@@ -29,7 +29,8 @@
 	// ErrBlocked means that the request is blocked because it crashes upstreams.
 	ErrBlocked = merry.Sentinel("the request crashes upstreams")
 	// ErrBusy means that the request is a suspect and the upstream runs other
-	// requests, or that the upstream runs a suspect or is reserved for another one.
+	// requests, that the upstream runs a suspect or is reserved for another one, or that
+	// the request was placed before it became a suspect.
 	ErrBusy = merry.Sentinel("the upstream cannot run this request together with its current requests")
 	// ErrRunning means that the request is a suspect and an equal one is running.
 	ErrRunning = merry.Sentinel("an equal request that may crash upstreams is running")
@@ -154,9 +155,10 @@
 	return nil
 }
 
-// Start registers a request that is about to be sent to an upstream. The caller
-// must end the run with Run.Finish.
-func (t *Table) Start(upstream string, f Fingerprint) (*Run, error) {
+// Start registers a request that is about to be sent to an upstream. suspect means that
+// it was placed as a suspect, by the VM that keeps suspects apart. The caller must end the
+// run with Run.Finish.
+func (t *Table) Start(upstream string, f Fingerprint, suspect bool) (*Run, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.get(f)
@@ -164,6 +166,9 @@
 		return nil, merry.Wrap(ErrBlocked)
 	}
 	isolated := e != nil
+	if isolated && !suspect {
+		return nil, merry.Wrap(ErrBusy)
+	}
 	if isolated && e.running != nil {
 		return nil, merry.Wrap(ErrRunning)
 	}
--- a/internal/state/fgsuspect/table_test.go
+++ b/internal/state/fgsuspect/table_test.go
@@ -10,7 +10,7 @@
 // mustStart starts a run and fails the test on an error.
 func mustStart(t *testing.T, table *Table, upstream string, f Fingerprint) *Run {
 	t.Helper()
-	r, err := table.Start(upstream, f)
+	r, err := table.Start(upstream, f, true)
 	if err != nil {
 		t.Fatalf("start at %s: %v", upstream, err)
 	}
@@ -37,17 +37,17 @@
 		table.Merge([]State{NewState(crashing, Suspect), NewState(unrelated, Suspect)})
 		isolatedRun := mustStart(t, table, "u2", crashing)
 		for _, f := range []Fingerprint{unrelated, {3}} {
-			if _, err := table.Start("u2", f); !errors.Is(err, ErrBusy) {
+			if _, err := table.Start("u2", f, true); !errors.Is(err, ErrBusy) {
 				t.Errorf("upstream runs a suspect: error %v, want ErrBusy", err)
 			}
 		}
-		if _, err := table.Start("u3", crashing); !errors.Is(err, ErrRunning) {
+		if _, err := table.Start("u3", crashing, true); !errors.Is(err, ErrRunning) {
 			t.Errorf("a second run of a suspect: error %v, want ErrRunning", err)
 		}
 		table.RecordCrash("u2")
 		isolatedRun.Finish(false)
 		table.Merge([]State{NewState(crashing, Clear)})
-		if _, err := table.Start("u3", crashing); !errors.Is(err, ErrBlocked) {
+		if _, err := table.Start("u3", crashing, true); !errors.Is(err, ErrBlocked) {
 			t.Errorf("after the second crash: error %v, want ErrBlocked", err)
 		}
 		changes := mustStart(t, table, "u3", unrelated).Finish(true)
@@ -66,11 +66,11 @@
 	var table Table
 	table.Merge([]State{NewState(Fingerprint{1}, Suspect)})
 	other := mustStart(t, &table, "u1", Fingerprint{2})
-	if _, err := table.Start("u1", Fingerprint{1}); !errors.Is(err, ErrBusy) {
+	if _, err := table.Start("u1", Fingerprint{1}, true); !errors.Is(err, ErrBusy) {
 		t.Errorf("error %v, want ErrBusy", err)
 	}
 	// The upstream is reserved for the suspect, since it might otherwise never be idle.
-	if _, err := table.Start("u1", Fingerprint{3}); !errors.Is(err, ErrBusy) {
+	if _, err := table.Start("u1", Fingerprint{3}, true); !errors.Is(err, ErrBusy) {
 		t.Errorf("another request: error %v, want ErrBusy", err)
 	}
 	mustStart(t, &table, "u2", Fingerprint{3})
@@ -78,6 +78,18 @@
 	mustStart(t, &table, "u1", Fingerprint{1})
 }
 
+// Guards against a request that runs isolated although it was placed before it became a
+// suspect: only one VM keeps suspects apart.
+func TestRequestPlacedBeforeSuspicionDoesNotRun(t *testing.T) {
+	var table Table
+	table.Merge([]State{NewState(Fingerprint{1}, Suspect)})
+	if _, err := table.Start("u1", Fingerprint{1}, false); !errors.Is(err, ErrBusy) {
+		t.Errorf("error %v, want ErrBusy", err)
+	}
+	mustStart(t, &table, "u1", Fingerprint{2}).Finish(true)
+	mustStart(t, &table, "u1", Fingerprint{1})
+}
+
 // Guards against a table that grows without bound.
 func TestTableIsBounded(t *testing.T) {
 	var table Table
