Clear a suspect at each VM that gets its response

Cause: the reports of a suspicion and of a completion take different connections and may arrive in the other order. The VM then kept a harmless request as a suspect for 10 min: its owner no longer had it as one, and so reported no completion.

Change: a VM that sends a suspect to the owner and gets a response clears it and reports so.

--- a/internal/fgentry/suspectservice.go
+++ b/internal/fgentry/suspectservice.go
@@ -108,7 +108,13 @@
 	if c.hop == hopPlacement || exclude[owner.Incarnation] {
 		return sendResult{}, suspectInProgress()
 	}
-	return e.sendPeer(w, r, c, peerTarget{member: owner, done: func(result) {}}), nil
+	s := e.sendPeer(w, r, c, peerTarget{member: owner, done: func(result) {}})
+	if s.result == resultAnswered || s.result == resultFailed {
+		// The owner reports the completion only if it is a suspect there. Here it may have
+		// become one by a report that arrived after an earlier completion.
+		e.broadcastSuspects(e.suspects.RecordCompletion(c.fingerprint))
+	}
+	return s, nil
 }
 
 // broadcastSuspects sends the states of suspects to the region's peers and
--- a/internal/state/fgsuspect/table.go
+++ b/internal/state/fgsuspect/table.go
@@ -247,6 +247,18 @@
 	return []State{NewState(r.fingerprint, Clear)}
 }
 
+// RecordCompletion records that another VM ran a request to completion, which clears it if
+// it is a suspect. The result is the change to send to peers, if there is one.
+func (t *Table) RecordCompletion(f Fingerprint) []State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.get(f); e == nil || e.status != Suspect {
+		return nil
+	}
+	delete(t.entries, f)
+	return []State{NewState(f, Clear)}
+}
+
 // RecordCrash records that an upstream broke its connections and refuses new ones.
 // Every request in flight there becomes a suspect; one that ran isolated is
 // blocked. The result is the changes to send to peers. Repeated calls for the same
