--- a/internal/coordination/fgmirror/mirror_test.go
+++ b/internal/coordination/fgmirror/mirror_test.go
@@ -23,7 +23,8 @@
 
 // fakeCodec decodes the keys "up/ID", "member/VM", "drain/ZONE" and "policy". The
 // version of a policy is the length of its data; the data "bad" is invalid. The data of an
-// upstream may end in "#" and the sequence of its report.
+// upstream may end in "#" and the sequence of its report, that of a member in "#" and its
+// incarnation.
 type fakeCodec struct{}
 
 func (fakeCodec) Policy(key string, data []byte) (*fgsteer.Policy, bool, error) {
@@ -48,9 +49,11 @@
 	return fgsteer.UpstreamSpec{ID: id, Group: "g", Draining: state == "draining", Sequence: sequence}, ok, nil
 }
 
-func (fakeCodec) Member(key string, _ []byte) (fgsteer.MemberSpec, bool, error) {
+func (fakeCodec) Member(key string, data []byte) (fgsteer.MemberSpec, bool, error) {
 	vm, ok := strings.CutPrefix(key, "member/")
-	return fgsteer.MemberSpec{VM: vm}, ok, nil
+	_, number, _ := strings.Cut(string(data), "#")
+	incarnation, _ := strconv.ParseUint(number, 10, 64)
+	return fgsteer.MemberSpec{VM: vm, Incarnation: incarnation}, ok, nil
 }
 
 // start runs a mirror of a feed until the test ends and waits for its first read.
--- a/internal/coordination/fgmirror/restore_test.go
+++ b/internal/coordination/fgmirror/restore_test.go
@@ -170,7 +170,10 @@
 		waitForBatch()
 		f.Restore(backup)
 		other, err := f.Grant(t.Context(), memberLeaseTTL)
-		if err != nil || f.PutLeased(t.Context(), "member/vm-2", nil, other) != nil {
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := f.PutLeased(t.Context(), "member/vm-2", 0, nil, other); err != nil {
 			t.Fatal(err)
 		}
 		registered := func() []string {
--- a/internal/coordination/fgstore/feed.go
+++ b/internal/coordination/fgstore/feed.go
@@ -53,6 +53,9 @@
 	Renew(ctx context.Context, l Lease) error
 	// Revoke ends a lease and deletes its keys.
 	Revoke(ctx context.Context, l Lease) error
-	// PutLeased writes a value under a lease.
-	PutLeased(ctx context.Context, key string, data []byte, l Lease) error
+	// PutLeased writes a value under a lease if the key has the expected revision, where 0
+	// means that the key does not exist. It returns the value with its revision, which is 0
+	// if the service does not name it. With ErrConflict it returns the present value, whose
+	// revision is 0 if there is none.
+	PutLeased(ctx context.Context, key string, expected uint64, data []byte, l Lease) (Value, error)
 }
--- a/internal/fgstandin/feed.go
+++ b/internal/fgstandin/feed.go
@@ -13,7 +13,8 @@
 var _ fgstore.Feed = (*Feed)(nil)
 
 // Feed is an in-memory key-value store that implements the interface which
-// gateways use. Fail, Mute, Compact, ExpireLeases and Restore cause faults.
+// gateways use. Fail, Mute, HoldWrites, Compact, ExpireLeases, EndOldLeases
+// and Restore cause faults.
 type Feed struct {
 	mu     sync.Mutex
 	values map[string]fgstore.Value
@@ -26,9 +27,14 @@
 	failure error
 	// muted is set by Mute.
 	muted bool
-	// leases holds the keys of each lease.
-	leases map[int64][]string
-	lastID int64
+	// leases are the leases in force, and leaseOf has the lease of each key that was
+	// written under one.
+	leases  map[int64]bool
+	leaseOf map[string]int64
+	lastID  int64
+	// holding is set by HoldWrites, and held are the writes that wait.
+	holding bool
+	held    []func()
 	// changed is closed at the next change.
 	changed    chan struct{}
 	rangeCalls int
@@ -37,7 +43,7 @@
 
 // NewFeed returns an empty store.
 func NewFeed() *Feed {
-	return &Feed{values: map[string]fgstore.Value{}, revision: 1, leases: map[int64][]string{}, changed: make(chan struct{})}
+	return &Feed{values: map[string]fgstore.Value{}, revision: 1, leases: map[int64]bool{}, leaseOf: map[string]int64{}, changed: make(chan struct{})}
 }
 
 // notify wakes the waiting watches. The caller holds mu.
@@ -50,11 +56,16 @@
 func (f *Feed) Put(key, data string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.putLocked(key, []byte(data), 0)
+}
+
+func (f *Feed) putLocked(key string, data []byte, lease int64) fgstore.Value {
 	f.revision++
-	v := fgstore.Value{Key: key, Data: []byte(data), Revision: f.revision}
-	f.values[key] = v
+	v := fgstore.Value{Key: key, Data: data, Revision: f.revision}
+	f.values[key], f.leaseOf[key] = v, lease
 	f.events = append(f.events, fgstore.Event{Value: v})
 	f.notify()
+	return v
 }
 
 // Remove deletes a key.
@@ -67,11 +78,12 @@
 func (f *Feed) removeLocked(key string) {
 	f.revision++
 	delete(f.values, key)
+	delete(f.leaseOf, key)
 	f.events = append(f.events, fgstore.Event{Value: fgstore.Value{Key: key, Revision: f.revision}, Deleted: true})
 	f.notify()
 }
 
-// Fail makes RangeValues, WatchEvents, Grant and Renew fail with err until it is
+// Fail makes RangeValues, WatchEvents, Grant, Renew and PutLeased fail with err until it is
 // called with nil.
 func (f *Feed) Fail(err error) {
 	f.mu.Lock()
@@ -166,7 +178,7 @@
 		return fgstore.Lease{}, f.failure
 	}
 	f.lastID++
-	f.leases[f.lastID] = nil
+	f.leases[f.lastID] = true
 	return fgstore.Lease{ID: f.lastID, Era: f.era, TTL: ttl}, nil
 }
 
@@ -177,7 +189,7 @@
 	if f.failure != nil {
 		return f.failure
 	}
-	if _, ok := f.leases[l.ID]; !ok || l.Era != f.era {
+	if !f.leases[l.ID] || l.Era != f.era {
 		return fgstore.ErrLeaseEnded
 	}
 	return nil
@@ -190,20 +202,71 @@
 	if l.Era != f.era {
 		return fgstore.ErrLeaseEnded
 	}
-	for _, key := range f.leases[l.ID] {
-		f.removeLocked(key)
-	}
-	delete(f.leases, l.ID)
+	f.endLease(l.ID)
 	return nil
 }
 
-// PutLeased writes a value under a lease.
-func (f *Feed) PutLeased(_ context.Context, key string, data []byte, l fgstore.Lease) error {
+// endLease ends a lease and removes its keys. The caller holds mu.
+func (f *Feed) endLease(id int64) {
+	delete(f.leases, id)
+	for key, lease := range f.leaseOf {
+		if lease == id {
+			f.removeLocked(key)
+		}
+	}
+}
+
+// PutLeased writes a value under a lease if the key has the expected revision.
+func (f *Feed) PutLeased(_ context.Context, key string, expected uint64, data []byte, l fgstore.Lease) (fgstore.Value, error) {
 	f.mu.Lock()
-	f.leases[l.ID] = append(f.leases[l.ID], key)
-	f.mu.Unlock()
-	f.Put(key, string(data))
-	return nil
+	defer f.mu.Unlock()
+	if f.failure != nil {
+		return fgstore.Value{}, f.failure
+	}
+	put := func() (fgstore.Value, error) {
+		if !f.leases[l.ID] || l.Era != f.era {
+			return fgstore.Value{}, fgstore.ErrLeaseEnded
+		}
+		if present := f.values[key]; present.Revision != expected {
+			return present, fgstore.ErrConflict
+		}
+		return f.putLocked(key, data, l.ID), nil
+	}
+	if f.holding {
+		f.held = append(f.held, func() { _, _ = put() })
+		return fgstore.Value{}, fgstore.ErrUnknown
+	}
+	return put()
+}
+
+// HoldWrites makes PutLeased return ErrUnknown without effect, until it is called with
+// false. The store executes these writes when ReleaseWrites is called.
+func (f *Feed) HoldWrites(hold bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holding = hold
+}
+
+// ReleaseWrites executes the writes that HoldWrites has held.
+func (f *Feed) ReleaseWrites() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, write := range f.held {
+		write()
+	}
+	f.held = nil
+}
+
+// EndOldLeases ends all leases but the latest, and deletes their keys, as happens to
+// leases that their owner no longer renews.
+func (f *Feed) EndOldLeases() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id := range f.leases {
+		if id != f.lastID {
+			f.endLease(id)
+		}
+	}
 }
 
 // ExpireLeases ends all leases and deletes their keys, as happens when an outage
@@ -211,12 +274,9 @@
 func (f *Feed) ExpireLeases() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, keys := range f.leases {
-		for _, key := range keys {
-			f.removeLocked(key)
-		}
+	for id := range f.leases {
+		f.endLease(id)
 	}
-	f.leases = map[int64][]string{}
 }
 
 // FeedBackup is a copy of a Feed.
@@ -240,12 +300,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.values, f.revision, f.events, f.oldest = maps.Clone(b.values), b.revision, nil, b.revision
-	for _, keys := range f.leases {
-		for _, key := range keys {
+	for key, lease := range f.leaseOf {
+		if lease != 0 {
 			delete(f.values, key)
 		}
 	}
-	f.leases, f.lastID = map[int64][]string{}, b.leaseID
+	f.leases, f.leaseOf, f.lastID = map[int64]bool{}, map[string]int64{}, b.leaseID
 	f.era++
 	f.notify()
 }
