Ignore outdated reports of upstreams outside of a restore

Cause: the copy took the entry with the higher revision. When the store executed the write of an earlier report late, a leaving upstream was ready again, or an upstream that had ended was back.

Change: a report that the upstream wrote before the one that is held, by its start and its sequence, doesn't replace it, and one older than the last deletion is hidden.

--- a/internal/coordination/fgmirror/entry.go
+++ b/internal/coordination/fgmirror/entry.go
@@ -28,9 +28,12 @@
 	// deleteAt is when a deleted entry leaves the view. It is zero unless the
 	// deletion may be a consequence of an outage.
 	deleteAt time.Time
-	// hiddenUntil is when an entry that was deleted before the store was restored is back
-	// in the view.
+	// hiddenUntil is when an entry is in the view that was deleted before the store was
+	// restored, or that was written late.
 	hiddenUntil time.Time
+	// outdatedSince is since when all reports of the upstream were older than the one in
+	// the view.
+	outdatedSince time.Time
 	// At most one of the following is set, and none if the value is invalid. zone is
 	// an availability zone that is draining.
 	policy   *fgsteer.Policy
--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -360,17 +360,6 @@
 	return slices.DeleteFunc(slices.Clone(events), func(e fgstore.Event) bool { return e.Revision <= m.position.Revision })
 }
 
-// put stores a value unless the copy already holds that revision or a newer one.
-// It cancels a pending deletion. m.mu is held.
-func (m *Mirror) put(v fgstore.Value, era uint64) {
-	if e := m.entries[v.Key]; e != nil && e.era == era && e.value.Revision >= v.Revision {
-		e.deleteAt = time.Time{}
-		return
-	}
-	m.entries[v.Key] = m.decode(v, era)
-	delete(m.deletions, v.Key)
-}
-
 // remove deletes an entry. If keep is set, as during recovery, it stays in the view until
 // its owner has had time to write it again. m.mu is held.
 func (m *Mirror) remove(key string, e *entry, keep bool) {
--- a/internal/coordination/fgmirror/mirror_test.go
+++ b/internal/coordination/fgmirror/mirror_test.go
@@ -23,8 +23,8 @@
 
 // fakeCodec decodes the keys "up/ID", "member/VM", "drain/ZONE" and "policy". The
 // version of a policy is the length of its data; the data "bad" is invalid. The data of an
-// upstream may end in "#" and the sequence of its report, that of a member in "#" and its
-// incarnation.
+// upstream may end in "#" and the sequence of its report, and then "@" and when it started,
+// that of a member in "#" and its incarnation.
 type fakeCodec struct{}
 
 func (fakeCodec) Policy(key string, data []byte) (*fgsteer.Policy, bool, error) {
@@ -45,8 +45,13 @@
 		return fgsteer.UpstreamSpec{}, true, errors.New("unreadable")
 	}
 	state, number, _ := strings.Cut(string(data), "#")
+	number, start, _ := strings.Cut(number, "@")
 	sequence, _ := strconv.ParseUint(number, 10, 64)
-	return fgsteer.UpstreamSpec{ID: id, Group: "g", Draining: state == "draining", Sequence: sequence}, ok, nil
+	spec := fgsteer.UpstreamSpec{ID: id, Group: "g", Draining: state == "draining", Sequence: sequence}
+	if seconds, err := strconv.ParseInt(start, 10, 64); err == nil {
+		spec.Started = time.Unix(seconds, 0)
+	}
+	return spec, ok, nil
 }
 
 func (fakeCodec) Member(key string, data []byte) (fgsteer.MemberSpec, bool, error) {
