Limit sends to unconfirmed upstreams while a gateway is cut off

Cause: a gateway with neither the store nor other gateways doesn't learn that an upstream has started, and sends it as much as a warm one.

Change: while its copy is 2.5 s old and no gateway is heard, or one that is heard is ahead, an upstream that hasn't responded as a warm one within 2 s gets this gateway's quota of a cold one, at least one request in 1.2 s. The response shows whether it is cold. Groups without a declared cold rate are served as before.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -101,6 +101,8 @@
 	started time.Time
 	state   atomic.Pointer[state]
 	bounds  atomic.Pointer[coldBounds]
+	// isolated is set by SetIsolated.
+	isolated atomic.Bool
 	// rtt is the round-trip time to another region in nanoseconds.
 	rtt atomic.Int64
 
@@ -257,7 +259,7 @@
 	}
 	for _, ranked := range best.ranked[:best.count] {
 		u := ranked.upstream
-		if !c.accepts(u, g, now) || u.isCold(wall, now) && (wall.Sub(b.started) < coldSendDelay || !u.reserveColdSend(wall, b.coldQuota(s, g, u))) ||
+		if !c.accepts(u, g, now) || !b.reserveColdSend(s, g, u, wall, now) ||
 			u.limit.set.Load() && !b.reserveLimitedSend(s, u, wall) {
 			continue
 		}
@@ -362,6 +364,7 @@
 // RecordCold records that an upstream has reported to be cold for a duration.
 func (b *Balancer) RecordCold(u *Upstream, d time.Duration) {
 	u.coldUntil.Store(int64(time.Since(b.epoch) + d))
+	u.warmSince.Store(0)
 }
 
 // RecordLoad records the number of requests that an upstream has reported to have.
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -93,6 +93,8 @@
 	avoidUntil atomic.Int64
 	limit      namedLimit
 	coldUntil  atomic.Int64
+	// warmSince is when the upstream last responded and was not cold.
+	warmSince atomic.Int64
 	// instance is the hash of the instanceID.
 	instance uint64
 
--- a/internal/fgcommand/pages_test.go
+++ b/internal/fgcommand/pages_test.go
@@ -47,8 +47,11 @@
 		{"../fggateway/overdue.go", `logger\.Info\("([^"]+)"`},
 		{"../fggateway/regions.go", `logger\.Info\("([^"]+)"`},
 		{"../fggateway/crash.go", `logger\.Info\("([^"]+)"`},
+		{"../fggateway/isolated.go", `logger\.Info\("([^"]+)"`},
 		{"../fggateway/callers.go", `logger\.Info\("([^"]+)"`},
 		{"../coordination/fgmirror/mirror.go", `Logger\.Info\("([^"]+)"`},
+		{"../coordination/fgmirror/order.go", `Logger\.Info\("([^"]+)"`},
+		{"../coordination/fgmirror/announce.go", `Logger\.Info\("([^"]+)"`},
 		{"gateway.go", `logger\.Info\("([^"]+)"`},
 	}
 	for _, tt := range tests {
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -81,6 +81,7 @@
 		g.sendState(s, sequence, time.Since(last))
 		last = time.Now()
 		g.catchUp(ctx)
+		g.updateIsolated()
 		g.logOverloadedRegions(&tracker)
 	}
 }
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -216,6 +216,8 @@
 	}
 	if meta.ColdDuration > 0 {
 		g.balancer.RecordCold(u, meta.ColdDuration)
+	} else if meta.Signed {
+		g.balancer.RecordWarm(u)
 	}
 	g.recordLimit(q, u, meta)
 	wrapped := &upstreamResponse{Response: response, meta: meta, upstream: u, cancel: cancel}
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -115,6 +115,8 @@
 	retryBudget fgaffinity.RetryBudget
 	limiter     *fgquota.Limiter
 	crashes     fgsuspect.Crashes
+	// isolated is what the balancer was last told. Only exchange uses it.
+	isolated    bool
 	bodies      bodyMemory
 	metrics     *fgmetrics.Gateway
 	peers       peers
