Tell peers of a crash before the caller gets its response

Cause: the crash of an upstream is recorded once, for all requests there. A request whose connection broke a little later found it recorded and returned at once, while the report to the peers was still under way. Its caller's VM then did not know it as a suspect, and sent it to a third upstream.

Change: each request whose upstream crashed reports itself before it returns.

Result: TestPeersKnowOfCrashBeforeTheCaller found the peer without the suspect before.

--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -325,7 +325,7 @@
 		s.result, s.err = e.refusalWithoutResponse(c, outcome, cause)
 	}
 	if s.result == resultLost {
-		crashed = e.detectCrash(t.upstream)
+		crashed = e.detectCrash(t.upstream, c.fingerprint)
 	}
 	return s
 }
--- a/internal/fgentry/send_test.go
+++ b/internal/fgentry/send_test.go
@@ -381,6 +381,28 @@
 	}
 }
 
+// Guards against a caller that gets its response before the other VMs know of the crash,
+// which was recorded for another request on the same upstream.
+func TestPeersKnowOfCrashBeforeTheCaller(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.setBehavior(fgstandin.Behavior{CrashPath: "/orders/bad"})
+	f.send(t.Context(), 0, "POST", "/orders/bad", "", "kit")
+	e, request := f.entries[0], fgsuspect.Fingerprint{1}
+	u := e.config.State().Upstreams("all")[0]
+	run, err := e.suspects.Start(u.Name(), request, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer run.Finish(false)
+	e.suspects.RecordCrash(u.Name())
+	if !e.detectCrash(u, request) {
+		t.Error("the crash is not detected")
+	}
+	if s := f.entries[1].suspects.Status(request); s != fgsuspect.Suspect {
+		t.Errorf("status %v at the peer, want suspect", s)
+	}
+}
+
 // Guards against sending further requests to a crashed upstream: in a group
 // with two of them, both sends of a request could go to crashed upstreams.
 func TestCrashedUpstreamBacksOff(t *testing.T) {
--- a/internal/fgentry/suspectservice.go
+++ b/internal/fgentry/suspectservice.go
@@ -54,10 +54,11 @@
 	}
 }
 
-// detectCrash reports whether an upstream whose connection broke has crashed,
-// which is the case if it refuses new connections. The requests in flight at a
-// crashed upstream become suspects.
-func (e *Entry) detectCrash(u *fgconfig.Upstream) bool {
+// detectCrash reports whether an upstream whose connection broke during a request has
+// crashed, which is the case if it refuses new connections. The requests in flight at a
+// crashed upstream become suspects. The peers know of the request when it returns, even if
+// the crash was recorded for another one, whose report may still be under way.
+func (e *Entry) detectCrash(u *fgconfig.Upstream, request fgsuspect.Fingerprint) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), maxProbes*probeInterval+broadcastTimeout)
 	defer cancel()
 	for probe := range maxProbes {
@@ -68,6 +69,10 @@
 			continue
 		}
 		states := e.suspects.RecordCrash(u.Name())
+		isRequest := func(s fgsuspect.State) bool { return s.Fingerprint() == request }
+		if status := e.suspects.Status(request); status != fgsuspect.Clear && !slices.ContainsFunc(states, isRequest) {
+			states = append(states, fgsuspect.NewState(request, status))
+		}
 		e.logger.Info("upstream crashed", "upstream", u.Name(), "suspects", len(states))
 		e.broadcastSuspects(states)
 		return true
