--- a/internal/state/fgsuspect/report.go
+++ b/internal/state/fgsuspect/report.go
@@ -10,9 +10,11 @@
 const (
 	// reportsPerChange is the number of consecutive reports that contain a change,
 	// because reports may be lost. Besides, each fullReportInterval consecutive reports
-	// contain all entries, or of a large table maxReported/2 in each.
+	// contain all entries, or of a large table maxRepeated in each: 52 of
+	// 40 bytes, a tenth of 512, in the states of 300 VMs come to 1 MB/s at each VM.
 	reportsPerChange   = 3
 	fullReportInterval = 10
+	maxRepeated        = 7
 	// maxReported bounds the entries of a report. One with three crashes has about 40
 	// bytes, and a report must fit into a datagram.
 	maxReported = 104
@@ -60,7 +62,7 @@
 	slices.SortFunc(pending, func(a, b uint64) int {
 		return cmp.Or(-compareBool(c.blocked(a, now), c.blocked(b, now)), cmp.Compare(c.entries[b].pendingReports, c.entries[a].pendingReports), cmp.Compare(a, b))
 	})
-	repeated := min((len(requests)+fullReportInterval-1)/fullReportInterval, maxReported/2)
+	repeated := min((len(requests)+fullReportInterval-1)/fullReportInterval, maxRepeated)
 	pending = pending[:min(len(pending), maxReported-repeated)]
 	all := make([]Crash, 0, min(len(requests), len(pending)+repeated))
 	for _, request := range pending {
@@ -111,13 +113,16 @@
 	}
 }
 
-// RepeatReports makes the next reports contain all entries, for a VM that has just
+// RepeatReports makes the next reports contain all blocked requests, for a VM that has just
 // started and knows none.
 func (c *Crashes) RepeatReports() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, e := range c.entries {
-		e.pendingReports = max(e.pendingReports, 1)
+	now := time.Now()
+	for request, e := range c.entries {
+		if c.blocked(request, now) {
+			e.pendingReports = max(e.pendingReports, 1)
+		}
 	}
 }
 
