--- a/internal/coordination/fgmirror/announce_test.go
+++ b/internal/coordination/fgmirror/announce_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
 )
 
@@ -115,3 +117,17 @@
 		}
 	})
 }
+
+// Guards against a gateway that never registers because its copy of the store is too old to
+// tell which revision it replaces.
+func TestAnnounceWithOldCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fgstandin.NewFeed()
+		f.Put("member/vm-1", "first#1")
+		m := New(Options{Feed: f, Codec: fakeCodec{}, Logger: logr.Discard()})
+		announce(t, m, "second#2")
+		if got := announced(f); got != "second#2" {
+			t.Errorf("the entry is %q", got)
+		}
+	})
+}
