Check for a crash when a response is cut off

Cause: only a send without a response was checked, so that a request that crashes upstreams after the beginning of its response was never counted.

--- a/internal/fggateway/crash_test.go
+++ b/internal/fggateway/crash_test.go
@@ -14,6 +14,24 @@
 // caller retries it through any gateway, and against harmless requests that are
 // refused as well.
 func TestRequestThatCrashesUpstreams(t *testing.T) {
+	tests := []struct {
+		name string
+		// begin is called before the upstream crashes.
+		begin func(rw http.ResponseWriter)
+	}{
+		{"before its response", func(http.ResponseWriter) {}},
+		{"within its response", func(rw http.ResponseWriter) {
+			rw.Header().Set("Content-Length", "100")
+			_, _ = rw.Write([]byte("begin"))
+			_ = http.NewResponseController(rw).Flush()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { testCrashingRequest(t, tt.begin) })
+	}
+}
+
+func testCrashingRequest(t *testing.T, begin func(rw http.ResponseWriter)) {
 	env := newTestEnv(t)
 	const upstreams = 6
 	var crashed counter
@@ -25,6 +43,7 @@
 				respond(rw, r)
 				return
 			}
+			begin(rw)
 			crashed.add()
 			_ = s.Listener.Close()
 			s.CloseClientConnections()
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -222,6 +222,10 @@
 	g.recordLimit(q, u, meta)
 	wrapped := &upstreamResponse{Response: response, meta: meta, upstream: u, cancel: cancel}
 	refused := g.classify(q, wrapped)
+	if wrapped.result == fgaffinity.Lost {
+		// The upstream may have crashed within its response.
+		g.checkForCrash(r, q, u, start)
+	}
 	return sendOutcome{response: wrapped, result: wrapped.result, refusal: refused}
 }
 
