Double the block of a crashing request once per incident

Each crash beyond the third doubled the block, also crashes at the same moment. A harmless request in flight at 12 upstreams of a zone that failed was blocked for 16 min. Crashes within 2 s of the one that began or renewed the block now count as one incident, which doubles it once.

TestCrashesOfOneIncidentDoNotDoubleTheBlock saw 16m0s before and sees 30s now.

--- a/internal/state/fgsuspect/crashes.go
+++ b/internal/state/fgsuspect/crashes.go
@@ -1,6 +1,7 @@
 package fgsuspect
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -14,11 +15,15 @@
 	// blocked. With 2, requests would be blocked that were in flight at two
 	// upstreams which failed for other reasons.
 	crashesToBlock = 3
-	// BlockDuration is how long a request is blocked after its third crash. Each further
+	// BlockDuration is how long a request is blocked after its third crash. A further
 	// crash blocks it again, twice as long each time up to maxBlockDuration: with equal
 	// durations a caller that goes on crashes an upstream every 30 s.
 	BlockDuration    = 30 * time.Second
 	maxBlockDuration = 16 * time.Minute
+	// sameIncidentMargin is how long after the crash that began or renewed a block further
+	// ones do not double it. A harmless request that is in flight at all upstreams of a zone
+	// which fails has a crash at each, found within the time of a probe.
+	sameIncidentMargin = 2 * time.Second
 	// crashLifetime is how long the crashes of a request are kept after the latest, or
 	// after the end of its block.
 	crashLifetime = 2 * time.Minute
@@ -346,7 +351,25 @@
 	if n < crashesToBlock {
 		return e.lastCrash()
 	}
-	return last.Add(min(BlockDuration<<min(n-crashesToBlock, maxStarts), maxBlockDuration))
+	return last.Add(min(BlockDuration<<min(e.renewals(), maxStarts), maxBlockDuration))
+}
+
+// renewals returns how often a crash that belongs to a later incident has renewed the block.
+func (e *requestCrashes) renewals() int {
+	times := make([]time.Time, 0, maxStarts)
+	for _, c := range e.starts {
+		if !c.cleared {
+			times = append(times, c.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	n, incident := 0, times[crashesToBlock-1]
+	for _, at := range times[crashesToBlock:] {
+		if at.Sub(incident) > sameIncidentMargin {
+			n, incident = n+1, at
+		}
+	}
+	return n
 }
 
 // expires returns the time after which the crashes no longer count.
--- a/internal/state/fgsuspect/crashes_test.go
+++ b/internal/state/fgsuspect/crashes_test.go
@@ -171,6 +171,33 @@
 	}
 }
 
+// Guards against a harmless request that is blocked for many minutes because it was in
+// flight at all upstreams of a zone that failed.
+func TestCrashesOfOneIncidentDoNotDoubleTheBlock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var a, b Crashes
+		for i := range 12 {
+			// Probes of a zone that is gone take up to their timeout.
+			time.Sleep(100 * time.Millisecond)
+			recordCrash([]*Crashes{&a, &b}[i%2], 1, fmt.Sprint("10.0.0.", i))
+		}
+		exchangeReports(&a, &b)
+		for _, c := range []*Crashes{&a, &b} {
+			if n, remaining := c.BlockRemaining(1); n != 12 || remaining != BlockDuration {
+				t.Errorf("%d crashes, blocked for %v; want 12, %v", n, remaining, BlockDuration)
+			}
+		}
+		// The next incident doubles it once.
+		time.Sleep(BlockDuration)
+		for i := range 4 {
+			recordCrash(&a, 1, fmt.Sprint("10.0.1.", i))
+		}
+		if n, remaining := a.BlockRemaining(1); n != 16 || remaining != 2*BlockDuration {
+			t.Errorf("%d crashes, blocked for %v; want 16, %v", n, remaining, 2*BlockDuration)
+		}
+	})
+}
+
 // Guards against harmless requests that completed while their VM still checked whether
 // the upstream of an earlier send had crashed.
 func TestCompletionDuringCheck(t *testing.T) {
