Keep expired crashes while the previous version reports them

A gateway of the previous version keeps what it is told for 2 min and reports it without ages. An expired entry was kept for 10 s only, so that such a report then counted as three new crashes, blocked the request for 30 s, and was told to the old gateway again: the block came back every 160 s while both versions ran.

TestPreviousVersionDoesNotBringBlocksBack failed 2m40s after the crashes before.

--- a/internal/state/fgsuspect/crashes.go
+++ b/internal/state/fgsuspect/crashes.go
@@ -27,9 +27,10 @@
 	// crashLifetime is how long the crashes of a request are kept after the latest, or
 	// after the end of its block.
 	crashLifetime = 2 * time.Minute
-	// expiredLifetime is how long an expired entry is kept so that reports without ages,
-	// of VMs which learned of the crashes later, do not bring it back.
-	expiredLifetime = 10 * time.Second
+	// expiredLifetime is how long an expired entry is kept so that reports without ages do
+	// not bring it back. A VM of the previous version may learn of the crashes from the
+	// last report before that, and reports them for two minutes.
+	expiredLifetime = crashLifetime + 10*time.Second
 	// sameCrashMargin is how long after a crash of an upstream sends may begin whose loss
 	// is attributed to that crash: a kept connection may be used before its end is
 	// noticed. An upstream that crashed takes longer than that to start again.
--- a/internal/state/fgsuspect/crashes_test.go
+++ b/internal/state/fgsuspect/crashes_test.go
@@ -339,3 +339,33 @@
 		}
 	})
 }
+
+// Guards against reports of a VM of the previous version, which have no ages, that bring
+// an expired block back: that VM keeps what it is told for crashLifetime, and is told
+// until the entry expires here.
+func TestPreviousVersionDoesNotBringBlocksBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var c Crashes
+		const interval = 500 * time.Millisecond
+		full := Crash{Request: 1, Starts: []uint32{1, 2, 3}}
+		c.ApplyReport([]Crash{full})
+		start := time.Now()
+		// What the other VM knows expires at a time.
+		expires := start.Add(crashLifetime)
+		for time.Since(start) < 10*time.Minute {
+			time.Sleep(interval)
+			if len(c.Report()) > 0 && !time.Now().Before(expires) {
+				expires = time.Now().Add(crashLifetime)
+			}
+			if time.Now().Before(expires) {
+				c.ApplyReport([]Crash{full})
+			}
+			if _, ok := c.Blocked(1); ok && time.Since(start) >= BlockDuration {
+				t.Fatalf("blocked %v after the crashes", time.Since(start))
+			}
+		}
+		if !c.Empty() {
+			t.Error("the crashes are still known after 10 minutes")
+		}
+	})
+}
