Keep what orders the crashes of requests in their entries

A full table compared all entries for each new request, and computed the end of each block from the crashes every time, with the lock held that requests need. A report of 97 unknown requests took 109 ms if each evicted another, 42 ms if each was refused; now 6 ms and 3 ms (on a machine with a load of 27).

--- a/internal/state/fgsuspect/crashes.go
+++ b/internal/state/fgsuspect/crashes.go
@@ -73,6 +73,11 @@
 // requestCrashes holds the crashes of one request by the identifier of the start.
 type requestCrashes struct {
 	starts map[uint32]crash
+	// number is the number of crashes that are not cleared, last is the time of the latest,
+	// cleared or not, and blockedUntil is the end of the block, or last if there is none.
+	// update sets them, because a full table compares them for each new request.
+	number             int
+	last, blockedUntil time.Time
 	// pendingReports is the number of further reports that must contain the entry.
 	pendingReports int
 }
@@ -193,7 +198,7 @@
 		return 0, 0
 	}
 	now := time.Now()
-	return e.count(now), max(0, e.blockedUntil().Sub(now))
+	return e.count(now), max(0, e.blockedUntil.Sub(now))
 }
 
 // entry returns the entry of a request and creates it if necessary. c.mu is held.
@@ -242,7 +247,7 @@
 // evictedBefore orders entries for eviction: unblocked ones by their latest crash, and then
 // blocked ones by the end of the block.
 func (e *requestCrashes) evictedBefore(o *requestCrashes, now time.Time) bool {
-	end, otherEnd := e.blockedUntil(), o.blockedUntil()
+	end, otherEnd := e.blockedUntil, o.blockedUntil
 	blocked, otherBlocked := now.Before(end), now.Before(otherEnd)
 	switch {
 	case blocked != otherBlocked:
@@ -250,7 +255,7 @@
 	case blocked:
 		return end.Before(otherEnd)
 	default:
-		return e.lastCrash().Before(o.lastCrash())
+		return e.last.Before(o.last)
 	}
 }
 
@@ -286,6 +291,7 @@
 		}
 		c.cleared = c.cleared || known.cleared
 		e.starts[id] = c
+		e.update()
 		return
 	}
 	if len(e.starts) >= maxStarts {
@@ -301,6 +307,7 @@
 		delete(e.starts, oldest)
 	}
 	e.starts[id] = c
+	e.update()
 }
 
 // clear clears the request of all known crashes because it has completed.
@@ -309,20 +316,7 @@
 		c.cleared = true
 		e.starts[id] = c
 	}
-}
-
-// counted returns the number of crashes that are not cleared, and the time of the latest.
-func (e *requestCrashes) counted() (n int, last time.Time) {
-	for _, c := range e.starts {
-		if c.cleared {
-			continue
-		}
-		n++
-		if c.at.After(last) {
-			last = c.at
-		}
-	}
-	return n, last
+	e.update()
 }
 
 // count returns the number of crashes that count at a time.
@@ -330,40 +324,31 @@
 	if !now.Before(e.expires()) {
 		return 0
 	}
-	n, _ := e.counted()
-	return n
+	return e.number
 }
 
-// lastCrash returns the time of the latest crash, cleared or not.
-func (e *requestCrashes) lastCrash() time.Time {
-	var last time.Time
-	for _, c := range e.starts {
-		if c.at.After(last) {
-			last = c.at
-		}
-	}
-	return last
-}
-
-// blockedUntil returns the end of the block, or the time of the latest crash if there is
-// none.
-func (e *requestCrashes) blockedUntil() time.Time {
-	n, last := e.counted()
-	if n < crashesToBlock {
-		return e.lastCrash()
-	}
-	return last.Add(min(BlockDuration<<min(e.renewals(), maxStarts), maxBlockDuration))
-}
-
-// renewals returns how often a crash that belongs to a later incident has renewed the block.
-func (e *requestCrashes) renewals() int {
+// update sets what follows from starts.
+func (e *requestCrashes) update() {
 	times := make([]time.Time, 0, maxStarts)
+	e.last = time.Time{}
 	for _, c := range e.starts {
 		if !c.cleared {
 			times = append(times, c.at)
 		}
+		if c.at.After(e.last) {
+			e.last = c.at
+		}
+	}
+	e.number, e.blockedUntil = len(times), e.last
+	if e.number >= crashesToBlock {
+		slices.SortFunc(times, time.Time.Compare)
+		e.blockedUntil = times[e.number-1].Add(min(BlockDuration<<renewals(times), maxBlockDuration))
 	}
-	slices.SortFunc(times, time.Time.Compare)
+}
+
+// renewals returns how often a crash that belongs to a later incident has renewed the block,
+// from the times of the crashes in order.
+func renewals(times []time.Time) int {
 	n, incident := 0, times[crashesToBlock-1]
 	for _, at := range times[crashesToBlock:] {
 		if at.Sub(incident) > sameIncidentMargin {
@@ -374,4 +359,4 @@
 }
 
 // expires returns the time after which the crashes no longer count.
-func (e *requestCrashes) expires() time.Time { return e.blockedUntil().Add(crashLifetime) }
+func (e *requestCrashes) expires() time.Time { return e.blockedUntil.Add(crashLifetime) }
--- a/internal/state/fgsuspect/crashes_test.go
+++ b/internal/state/fgsuspect/crashes_test.go
@@ -369,3 +369,22 @@
 		}
 	})
 }
+
+// BenchmarkApplyReportToFullTable applies reports of 97 requests that are blocked and not
+// known, each of which evicts another one.
+func BenchmarkApplyReportToFullTable(b *testing.B) {
+	var c Crashes
+	request := uint64(0)
+	report := func(n int) []Crash {
+		crashes := make([]Crash, n)
+		for i := range crashes {
+			request++
+			crashes[i] = Crash{Request: request, Starts: []uint32{1, 2, 3}, Ages: make([]time.Duration, 3)}
+		}
+		return crashes
+	}
+	c.ApplyReport(report(maxRequests))
+	for b.Loop() {
+		c.ApplyReport(report(maxReported - maxRepeated))
+	}
+}
--- a/internal/state/fgsuspect/report.go
+++ b/internal/state/fgsuspect/report.go
@@ -99,7 +99,7 @@
 
 // blocked reports whether the request of an entry is blocked. c.mu is held.
 func (c *Crashes) blocked(request uint64, now time.Time) bool {
-	return now.Before(c.entries[request].blockedUntil())
+	return now.Before(c.entries[request].blockedUntil)
 }
 
 func compareBool(a, b bool) int {
