Don't check for a crash when the gateway itself ended a response

A response that was cut off because the request's time was over or its caller had left was checked for a crash, unlike a send without a response. In a partition the probe fails, and the harmless request got a crash.

--- a/internal/fggateway/crash_test.go
+++ b/internal/fggateway/crash_test.go
@@ -83,3 +83,28 @@
 		t.Error("the crashes are not logged")
 	}
 }
+
+// Guards against counting a crash for a request that the gateway itself ended within a
+// response, because its time was over, when the upstream happens to refuse connections.
+func TestResponseEndedAtDeadlineIsNoCrash(t *testing.T) {
+	env := newTestEnv(t)
+	var s *httptest.Server
+	s = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("T-Id", r.Header.Get("T-Id"))
+		rw.Header().Set("Content-Length", "100")
+		_, _ = rw.Write([]byte("begin"))
+		_ = http.NewResponseController(rw).Flush()
+		_ = s.Listener.Close()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(s.Close)
+	env.put("up/u", fgsteer.UpstreamSpec{ID: "u", Group: "g", Address: s.Listener.Addr().String(), Slots: 4, Region: "east"})
+	g := env.gateway("vm-1", 1)
+	if res := g.mustCall(t, http.MethodGet, "/short/x"); res.status < http.StatusInternalServerError {
+		t.Errorf("status %d", res.status)
+	}
+	// A check would begin before the caller gets its response.
+	if !g.crashes.Empty() {
+		t.Error("the upstream is checked for a crash")
+	}
+}
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -222,8 +222,8 @@
 	g.recordLimit(q, u, meta)
 	wrapped := &upstreamResponse{Response: response, meta: meta, upstream: u, cancel: cancel}
 	refused := g.classify(q, wrapped)
-	if wrapped.result == fgaffinity.Lost {
-		// The upstream may have crashed within its response.
+	if wrapped.result == fgaffinity.Lost && r.Context().Err() == nil && time.Until(q.deadline) > 0 {
+		// The upstream may have crashed within its response, unless the read was ended here.
 		g.checkForCrash(r, q, u, start)
 	}
 	return sendOutcome{response: wrapped, result: wrapped.result, refusal: refused}
