Go on counting after 64 crashes at an address

Identifiers of starts ended at 64 for an address. The 66th crash of a request at the only upstream of a group was taken for the 65th, and did not renew the block. The numbers now begin again; those in use are the latest 16.

TestBlockOfPersistentRequestIsRenewed failed after crash 66 before.

--- a/internal/state/fgsuspect/crashes.go
+++ b/internal/state/fgsuspect/crashes.go
@@ -37,6 +37,9 @@
 	sameCrashMargin = time.Second
 	// maxStarts bounds the crashes that are kept of one request. The latest are kept.
 	maxStarts = 16
+	// maxStartNumber bounds the numbers of crashes at an address. It is well above
+	// maxStarts, so that a number is forgotten long before it is used again.
+	maxStartNumber = 4 * maxStarts
 	// maxRequests bounds the table. Every request in flight at an upstream that crashes
 	// takes an entry of about 0.4 kB, so that 64 entries were too few for the crash of a
 	// zone.
@@ -266,14 +269,17 @@
 	if !now.Before(e.expires()) {
 		clear(e.starts)
 	}
+	// last and id are the latest known crash at the address. Its number isn't the highest
+	// after maxStartNumber, when the numbers begin again.
 	last, id := 0, uint32(0)
-	for n := 1; n <= 4*maxStarts; n++ {
-		if _, ok := e.starts[startID(address, n)]; ok {
-			last, id = n, startID(address, n)
+	for n := 1; n <= maxStartNumber; n++ {
+		i := startID(address, n)
+		if c, ok := e.starts[i]; ok && (last == 0 || c.at.After(e.starts[id].at)) {
+			last, id = n, i
 		}
 	}
 	if last == 0 || sent.Sub(e.starts[id].at) > sameCrashMargin {
-		e.add(startID(address, last+1), crash{at: now, cleared: cleared})
+		e.add(startID(address, last%maxStartNumber+1), crash{at: now, cleared: cleared})
 		return
 	}
 	if cleared {
--- a/internal/state/fgsuspect/crashes_test.go
+++ b/internal/state/fgsuspect/crashes_test.go
@@ -171,6 +171,24 @@
 	}
 }
 
+// Guards against a request that is no longer blocked once it has crashed the same upstream
+// more often than identifiers of starts are kept.
+func TestBlockOfPersistentRequestIsRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var a, b Crashes
+		for i := range 200 {
+			recordCrash(&a, 1, "10.0.0.1")
+			exchangeReports(&a, &b)
+			time.Sleep(3 * time.Second)
+			_, remaining := b.BlockRemaining(1)
+			if i >= crashesToBlock-1 && remaining == 0 {
+				t.Fatalf("not blocked after crash %d", i+1)
+			}
+			time.Sleep(remaining)
+		}
+	})
+}
+
 // Guards against a harmless request that is blocked for many minutes because it was in
 // flight at all upstreams of a zone that failed.
 func TestCrashesOfOneIncidentDoNotDoubleTheBlock(t *testing.T) {
