Count gateways that are cut off together as cut off

A gateway that heard any other one with no newer copy took itself for informed of starts of upstreams. Of several gateways cut off together, each hears the others, and none knew of a start. Now more than half of the others silent, with an old copy, counts as cut off; in an outage of the store alone they report.

The new case of TestIsolated fails without the count.

--- a/internal/fggateway/isolated.go
+++ b/internal/fggateway/isolated.go
@@ -13,7 +13,11 @@
 
 // updateIsolated tells the balancer whether this gateway learns of starts of upstreams.
 func (g *Gateway) updateIsolated() {
-	isolated := g.peers.isolated(g.mirror.CopyAge(), g.mirror.Position(), g.silentTimeout())
+	others := 0
+	if v := g.mirror.View(); v != nil {
+		others = len(v.Members()) - 1
+	}
+	isolated := g.peers.isolated(g.mirror.CopyAge(), g.mirror.Position(), g.silentTimeout(), others)
 	if isolated == g.isolated {
 		return
 	}
@@ -23,15 +27,16 @@
 }
 
 // isolated reports whether a gateway whose copy of the store has an age and a position has
-// neither a current copy nor the means to notice that it lacks changes: no other gateway
-// has reported within the timeout, or one that has is ahead.
-func (p *peers) isolated(copyAge time.Duration, position fgstore.Position, timeout time.Duration) bool {
+// neither a current copy nor the means to notice that it lacks changes: one of the others
+// is ahead, or fewer than half of them have reported within the timeout. In an outage of
+// the store most report; gateways that are cut off together hear each other only.
+func (p *peers) isolated(copyAge time.Duration, position fgstore.Position, timeout time.Duration, others int) bool {
 	if copyAge < isolatedCopyAge {
 		return false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	heard := false
+	heard := 0
 	for _, s := range p.states {
 		if time.Since(s.received) >= timeout {
 			continue
@@ -39,7 +44,7 @@
 		if position.Before(s.position) {
 			return true
 		}
-		heard = true
+		heard++
 	}
-	return !heard
+	return heard == 0 || 2*heard < others
 }
--- a/internal/fggateway/isolated_test.go
+++ b/internal/fggateway/isolated_test.go
@@ -18,14 +18,18 @@
 		copyAge  time.Duration
 		received map[string]time.Duration
 		ahead    string
+		others   int
 		want     bool
 	}{
-		{"current copy, alone", time.Second, nil, "", false},
-		{"old copy, alone", isolatedCopyAge, nil, "", true},
-		{"old copy, others were heard long ago", isolatedCopyAge, map[string]time.Duration{"a": timeout, "b": timeout}, "", true},
-		{"old copy, another has no newer one", isolatedCopyAge, map[string]time.Duration{"a": time.Second, "b": timeout}, "", false},
-		{"old copy, another has a newer one", isolatedCopyAge, map[string]time.Duration{"a": time.Second, "b": 0}, "b", true},
-		{"current copy, another has a newer one", time.Second, map[string]time.Duration{"a": time.Second}, "a", false},
+		{"current copy, alone", time.Second, nil, "", 2, false},
+		{"old copy, alone", isolatedCopyAge, nil, "", 2, true},
+		{"old copy, others were heard long ago", isolatedCopyAge, map[string]time.Duration{"a": timeout, "b": timeout}, "", 2, true},
+		{"old copy, another has no newer one", isolatedCopyAge, map[string]time.Duration{"a": time.Second, "b": timeout}, "", 2, false},
+		{"old copy, another has a newer one", isolatedCopyAge, map[string]time.Duration{"a": time.Second, "b": 0}, "b", 2, true},
+		{"current copy, another has a newer one", time.Second, map[string]time.Duration{"a": time.Second}, "a", 2, false},
+		{"old copy, cut off with a few others", isolatedCopyAge, map[string]time.Duration{"a": time.Second, "b": timeout}, "", 6, true},
+		{"old copy, half of the others are heard", isolatedCopyAge, map[string]time.Duration{"a": 0, "b": 0, "c": 0}, "", 6, false},
+		{"current copy, cut off with a few others", time.Second, map[string]time.Duration{"a": time.Second}, "", 6, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -38,7 +42,7 @@
 					}
 					p.states[vm] = s
 				}
-				if got := p.isolated(tt.copyAge, own, timeout); got != tt.want {
+				if got := p.isolated(tt.copyAge, own, timeout, tt.others); got != tt.want {
 					t.Errorf("isolated %v, want %v", got, tt.want)
 				}
 			})
