Follow a report of an upstream with the same sequence

A ready report after a draining one with the same sequence and no start time was taken for outdated, and ignored until the upstream reported again 6 s later. That is no proof of an older report: the upstream may have restarted. The stand-in of TestSoak writes such reports once, so that its upstreams never were ready again.

The new case of TestOutdatedReportsOfUpstreams failed before.

--- a/internal/coordination/fgmirror/order.go
+++ b/internal/coordination/fgmirror/order.go
@@ -47,12 +47,13 @@
 }
 
 // isOutdated reports whether an upstream certainly wrote a report before another one, unless
-// it has restarted under the same ID.
+// it has restarted under the same ID. Equal sequences don't tell: a process whose first report
+// was the last may have restarted.
 func isOutdated(u, latest *fgsteer.UpstreamSpec) bool {
 	if !u.Started.IsZero() && !latest.Started.IsZero() && !u.Started.Equal(latest.Started) {
 		return u.Started.Before(latest.Started)
 	}
-	return u.Sequence > 0 && latest.Sequence > 0 && compareReports(u, latest) < 0
+	return u.Sequence > 0 && u.Sequence < latest.Sequence
 }
 
 func (m *Mirror) logOutdated(e *entry, latest *fgsteer.UpstreamSpec) {
--- a/internal/coordination/fgmirror/order_test.go
+++ b/internal/coordination/fgmirror/order_test.go
@@ -26,6 +26,7 @@
 		{"of the next process", []string{"draining#3@7", "ready#1@8"}, "ready"},
 		{"the start is learnt late", []string{"draining#3", "ready#4@8"}, "ready"},
 		{"without a sequence", []string{"draining", "ready"}, "ready"},
+		{"with the same sequence", []string{"draining#1", "ready#1"}, "ready"},
 		{"late, after the end", []string{"draining#3", "", "ready#2"}, "none"},
 		{"late, twice after the end", []string{"draining#4", "", "ready#2", "ready#3"}, "none"},
 		{"of the next process, after the end", []string{"draining#3@7", "", "ready#1@8"}, "ready"},
