Test the margin between two crashes of an upstream, and expired reports

No test failed with a margin of zero, as TestUnrelatedCrashesDoNotBlock has no send that began after the crash, nor when expired reports were taken into the table. Both new tests fail then.

--- a/internal/state/fgsuspect/crashes_test.go
+++ b/internal/state/fgsuspect/crashes_test.go
@@ -171,6 +171,44 @@
 	}
 }
 
+// Guards against counting one crash again for each send on a kept connection whose end was
+// not yet noticed, and against missing the next crash of the same upstream.
+func TestSendSoonAfterCrashHasSeenIt(t *testing.T) {
+	tests := []struct {
+		after time.Duration
+		want  int
+	}{{-time.Second, 1}, {0, 1}, {900 * time.Millisecond, 1}, {1100 * time.Millisecond, 2}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var a, b Crashes
+				recordCrash(&a, 1, "10.0.0.1")
+				crashed := time.Now()
+				exchangeReports(&a, &b)
+				time.Sleep(3 * time.Second)
+				for _, c := range []*Crashes{&a, &b} {
+					if n := c.BeginCheck(1, "10.0.0.1", crashed.Add(tt.after)).Crashed(); n != tt.want {
+						t.Errorf("%d crashes, want %d", n, tt.want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a table that fills with crashes which no longer count where they arrive.
+func TestExpiredReportIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var c Crashes
+		for request := range uint64(10) {
+			c.ApplyReport([]Crash{{Request: request, Starts: []uint32{1}, Ages: []time.Duration{crashLifetime}}})
+		}
+		if !c.Empty() {
+			t.Error("expired crashes were taken into the table")
+		}
+	})
+}
+
 // Guards against a request that is no longer blocked once it has crashed the same upstream
 // more often than identifiers of starts are kept.
 func TestBlockOfPersistentRequestIsRenewed(t *testing.T) {
