--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -120,6 +120,8 @@
 	bounds  atomic.Pointer[coldBounds]
 	// loadAware means that upstreams of all groups are chosen by expected time.
 	loadAware atomic.Bool
+	// isolated is set by SetIsolated.
+	isolated atomic.Bool
 	// rtt is the round-trip time to another region in nanoseconds.
 	rtt atomic.Int64
 
@@ -286,7 +288,7 @@
 			break
 		}
 		hasFree = hasFree || expected[i].LoadPerSlot < 1
-		if !c.accepts(u, expected[i]) || u.isCold(wall, now) && (wall.Sub(b.started) < coldSendDelay || !u.reserveColdSend(wall, b.coldQuota(s, g, u))) ||
+		if !c.accepts(u, expected[i]) || !b.reserveColdSend(s, g, u, wall, now) ||
 			u.limit.set.Load() && !b.reserveLimitedSend(s, u, wall) {
 			continue
 		}
@@ -370,4 +372,5 @@
 // RecordCold records that an upstream has reported to be cold for a duration.
 func (b *Balancer) RecordCold(u *Upstream, d time.Duration) {
 	u.coldUntil.Store(int64(time.Since(b.epoch) + d))
+	u.warmSince.Store(0)
 }
--- a/internal/fgentry/send_test.go
+++ b/internal/fgentry/send_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgproblem"
 	"github.com/filbertgap/filbertgap/internal/state/fgconfig"
 	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
@@ -327,6 +329,80 @@
 	}
 }
 
+// Guards against a VM that runs a suspect which a peer placed there, although another VM
+// runs the region's suspects.
+func TestPlacedSuspectRunsAtItsOwnerOnly(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	fingerprint, refused, owners := fgsuspect.Fingerprint{1}, 0, 0
+	for _, e := range f.entries {
+		e.suspects.Merge([]fgsuspect.State{fgsuspect.NewState(fingerprint, fgsuspect.Suspect)})
+		r := httptest.NewRequest("GET", "/browse/x", nil)
+		w := httptest.NewRecorder()
+		c := &call{
+			snapshot: e.config.State(), hop: hopPlacement, workspace: "office", fingerprint: fingerprint,
+			route: e.config.State().Route("/browse/x"), admittedAt: time.Now(), sendContext: t.Context(), body: &requestBody{complete: true},
+		}
+		if _, elsewhere := e.suspectOwner(c); !elsewhere {
+			// On a busy machine a VM may miss the reports of the owner for a moment.
+			owners++
+		}
+		var p *fgproblem.Problem
+		switch s, err := e.placeAndSend(w, r, c, nil); {
+		case errors.As(err, &p) && p.Outcome() == fgproblem.NotRun:
+			refused++
+		case err != nil || s.err != nil || w.Code != 200:
+			t.Errorf("status %d, errors %v and %v", w.Code, err, s.err)
+		}
+		e.suspects.Merge([]fgsuspect.State{fgsuspect.NewState(fingerprint, fgsuspect.Clear)})
+	}
+	if n := f.countRuns("/browse/x"); n != owners || refused != len(f.entries)-owners {
+		t.Errorf("run by %d VMs and refused by %d, want %d and %d", n, refused, owners, len(f.entries)-owners)
+	}
+}
+
+// Guards against a VM on which a harmless request stays a suspect, because the report of
+// its completion arrived before that of its suspicion.
+func TestOutdatedSuspicionEndsWithAResponse(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	empty := sha256.Sum256(nil)
+	fingerprint := fgsuspect.Fingerprint(digestOf("office", "browse", "GET", "/browse/x", "", string(empty[:])))
+	for vm := range f.entries {
+		for _, e := range f.entries {
+			if _, elsewhere := e.suspectOwner(&call{snapshot: e.config.State(), route: e.config.State().Route("/browse/x")}); elsewhere {
+				e.suspects.Merge([]fgsuspect.State{fgsuspect.NewState(fingerprint, fgsuspect.Suspect)})
+			}
+		}
+		if res := f.send(t.Context(), vm, "GET", "/browse/x", "", ""); res.status != 200 {
+			t.Errorf("through VM %d: %v", vm, res)
+		}
+		if s := f.entries[vm].suspects.Status(fingerprint); s != fgsuspect.Clear {
+			t.Errorf("status %v at VM %d after a response", s, vm)
+		}
+	}
+}
+
+// Guards against a caller that gets its response before the other VMs know of the crash,
+// which was recorded for another request on the same upstream.
+func TestPeersKnowOfCrashBeforeTheCaller(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.setBehavior(fgstandin.Behavior{CrashPath: "/orders/bad"})
+	f.send(t.Context(), 0, "POST", "/orders/bad", "", "kit")
+	e, request := f.entries[0], fgsuspect.Fingerprint{1}
+	u := e.config.State().Upstreams("all")[0]
+	run, err := e.suspects.Start(u.Name(), request, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer run.Finish(false)
+	e.suspects.RecordCrash(u.Name())
+	if !e.detectCrash(u, request) {
+		t.Error("the crash is not detected")
+	}
+	if s := f.entries[1].suspects.Status(request); s != fgsuspect.Suspect {
+		t.Errorf("status %v at the peer, want suspect", s)
+	}
+}
+
 // Guards against sending further requests to a crashed upstream: in a group
 // with two of them, both sends of a request could go to crashed upstreams.
 func TestCrashedUpstreamBacksOff(t *testing.T) {
--- a/internal/fgentry/suspectservice.go
+++ b/internal/fgentry/suspectservice.go
@@ -54,10 +54,11 @@
 	}
 }
 
-// detectCrash reports whether an upstream whose connection broke has crashed,
-// which is the case if it refuses new connections. The requests in flight at a
-// crashed upstream become suspects.
-func (e *Entry) detectCrash(u *fgconfig.Upstream) bool {
+// detectCrash reports whether an upstream whose connection broke during a request has
+// crashed, which is the case if it refuses new connections. The requests in flight at a
+// crashed upstream become suspects. The peers know of the request when it returns, even if
+// the crash was recorded for another one, whose report may still be under way.
+func (e *Entry) detectCrash(u *fgconfig.Upstream, request fgsuspect.Fingerprint) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), maxProbes*probeInterval+broadcastTimeout)
 	defer cancel()
 	for probe := range maxProbes {
@@ -68,6 +69,10 @@
 			continue
 		}
 		states := e.suspects.RecordCrash(u.Name())
+		isRequest := func(s fgsuspect.State) bool { return s.Fingerprint() == request }
+		if status := e.suspects.Status(request); status != fgsuspect.Clear && !slices.ContainsFunc(states, isRequest) {
+			states = append(states, fgsuspect.NewState(request, status))
+		}
 		e.logger.Info("upstream crashed", "upstream", u.Name(), "suspects", len(states))
 		e.broadcastSuspects(states)
 		return true
@@ -100,12 +105,21 @@
 }
 
 // sendToSuspectOwner sends a suspected call to the VM that runs the region's
-// suspects. If that VM cannot take the call, it is refused and not run here.
+// suspects. If that VM cannot take the call, it is refused and not run here. So is a call
+// that a peer placed here: it may have become a suspect here, and the peer sends it to
+// the owner. When it ran here, beside a suspect of the owner on the same upstream, the
+// crash caused by one blocked the other.
 func (e *Entry) sendToSuspectOwner(w http.ResponseWriter, r *http.Request, c *call, owner fgmember.Member, exclude map[string]bool) (sendResult, error) {
-	if exclude[owner.Incarnation] {
+	if c.hop == hopPlacement || exclude[owner.Incarnation] {
 		return sendResult{}, suspectInProgress()
 	}
-	return e.sendPeer(w, r, c, peerTarget{member: owner, done: func(result) {}}), nil
+	s := e.sendPeer(w, r, c, peerTarget{member: owner, done: func(result) {}})
+	if s.result == resultAnswered || s.result == resultFailed {
+		// The owner reports the completion only if it is a suspect there. Here it may have
+		// become one by a report that arrived after an earlier completion.
+		e.broadcastSuspects(e.suspects.RecordCompletion(c.fingerprint))
+	}
+	return s, nil
 }
 
 // broadcastSuspects sends the states of suspects to the region's peers and
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -121,6 +121,8 @@
 	admission   fgadmission.Controller
 	limiter     *fgquota.Limiter
 	crashes     fgsuspect.Crashes
+	// isolated is what the balancer was last told. Only exchange uses it.
+	isolated    bool
 	bodies      bodyMemory
 	metrics     *fgmetrics.Gateway
 	peers       peers
