Divide rates between gateways that do not hear each other

Cause: both sides of a partition went on to compute shares of the whole rate from what they had last heard, forgot silent peers after 5 s, and each spent the whole burst.

Change: a gateway spends only the fraction of rate and burst that belongs to the gateways with which it is in mutual contact, 1/n for each of n. The rest is left to the others until they are back in touch, or have been deregistered for longer than a gateway without the store goes on.

--- a/internal/coordination/fgquota/lightload.go
+++ b/internal/coordination/fgquota/lightload.go
@@ -6,52 +6,64 @@
 )
 
 const (
-	// A workspace is lightly loaded if its demand is at most lightDemandFraction
-	// of its rate plus lightDemandMargin requests per second, lightTokensFraction
-	// of its burst is left, and at most maxSilentFraction of the VMs have sent no
-	// report for maxReportAge. The margin covers the random variation of a small
-	// workspace's demand. Some VMs may be silent, since the loss of an availability
-	// zone must not affect the others; the tokens that silent VMs may spend are
-	// subtracted separately.
+	// A workspace is lightly loaded if the demand of the VMs in touch is at most
+	// lightDemandFraction of their part of the rate plus lightDemandMargin requests per
+	// second, and lightTokensFraction of their part of the burst is left. The margin
+	// covers the random variation of a small workspace's demand.
 	lightDemandFraction = 0.8
 	lightDemandMargin   = 4.0
 	lightTokensFraction = 0.3
-	maxSilentFraction   = 0.25
-	maxReportAge        = 1500 * time.Millisecond
 	// A VM may spend lightBaseAllowance tokens of a lightly loaded workspace between
 	// two reports, plus its own demand of lightDemandIntervals report intervals.
 	// This bounds the excess when demand rises suddenly on many VMs.
 	lightBaseAllowance   = 2
 	lightDemandIntervals = 2
+	// unreportedIntervals is for how many report intervals the other VMs may spend
+	// tokens before this VM learns of it: one until their reports, plus the latency
+	// from another region. One more request of each VM is added.
+	unreportedIntervals = 1.5
 )
 
-// isLightlyLoaded reports whether the demand of all VMs is well below the rate,
-// according to recent reports of most VMs. No tokens need to be reserved for
-// other VMs then: if all demand rises at once, the next reports show it, and the
-// excess is subtracted from the tokens.
-func (l *Limiter) isLightlyLoaded(b *bucket) bool {
-	if b.tokens < lightTokensFraction*b.burst || !l.hasRecentReports() {
-		return false
-	}
-	total, hash := b.demand, WorkspaceHash(b.name)
+// renewAllowance sets this VM's share and its allowance of the tokens left.
+func (l *Limiter) renewAllowance(b *bucket, elapsed time.Duration) {
+	total, reported, silent := max(b.demand, minDemand), b.demand, 0.0
 	for _, p := range l.peers {
-		if u := p.uses[hash]; u != nil {
-			total += u.demand
+		u := p.uses[b.hash]
+		switch {
+		case !p.inTouch && u != nil:
+			silent += u.demand
+		case p.inTouch && u != nil:
+			total += max(u.demand, minDemand)
+			reported += u.demand
+		case p.inTouch:
+			total += minDemand
 		}
 	}
-	return total <= lightDemandFraction*b.rate+lightDemandMargin
+	b.knownDemand = reported + silent
+	b.share = max(b.demand, minDemand) / total
+	n := float64(l.contact.inTouch)
+	b.unreported = unreportedIntervals*total*(1-b.share)*elapsed.Seconds() + n - 1
+	b.allowance = b.share * b.tokens
+	if b.capacity() < n/2 {
+		b.allowance = roundUpRandomly(b.allowance)
+	}
+	if b.isLightlyLoaded(reported) {
+		b.allowance = max(b.allowance, lightBaseAllowance+lightDemandIntervals*b.demand*elapsed.Seconds())
+	}
+	switch {
+	case b.tokens >= n/2:
+		b.allowance = max(2, b.allowance)
+	case b.tokens >= max(1, n/4):
+		b.allowance = max(1, b.allowance)
+	}
 }
 
-// hasRecentReports reports whether most VMs have sent a report within maxReportAge.
-// What silent VMs spend beyond their shares is unknown.
-func (l *Limiter) hasRecentReports() bool {
-	now, recent := time.Now(), 1
-	for _, p := range l.peers {
-		if now.Sub(p.lastReport) < maxReportAge {
-			recent++
-		}
-	}
-	return float64(l.members-recent) <= maxSilentFraction*float64(l.members)
+// isLightlyLoaded reports whether the demand of the VMs in touch is well below their
+// part of the rate. No tokens need to be reserved for other VMs then: if all demand
+// rises at once, the next reports show it, and the excess is subtracted from the
+// tokens.
+func (b *bucket) isLightlyLoaded(demand float64) bool {
+	return b.tokens >= lightTokensFraction*b.capacity() && demand <= b.fraction*(lightDemandFraction*b.rate+lightDemandMargin)
 }
 
 // roundUpRandomly rounds an allowance between 0 and 1 up to 1 with the allowance
--- a/internal/coordination/fgquota/limiter.go
+++ b/internal/coordination/fgquota/limiter.go
@@ -9,10 +9,11 @@
 // all. Tokens are not divided if the other VMs are unlikely to spend them before
 // their next reports. Any VM may spend the tokens of a lightly loaded workspace,
 // up to a bound.
+//
+// VMs that do not hear each other divide the tokens, see division.go.
 package fgquota
 
 import (
-	"hash/fnv"
 	"math"
 	"sync"
 	"time"
@@ -26,22 +27,11 @@
 	// minDemand, in requests per second, is assumed for a VM with less demand, so
 	// that an allowance is available for its first requests.
 	minDemand = 0.5
-	// A peer that has sent no report for silentTimeout, or for silentIntervals
-	// report intervals if that is longer, is assumed to spend its share of each rate
-	// without reporting it. Report intervals are longer in a large fleet.
-	silentTimeout   = 800 * time.Millisecond
-	silentIntervals = 1.4
-	// peerRetention is how long the last report of an unregistered peer is kept.
-	peerRetention = 5 * time.Second
 	// One in fullReportTicks reports includes all workspaces in use. A VM that missed
 	// a report catches up with the next change or with the next full report.
 	fullReportTicks = 10
 	// minDemandChange is the relative change of demand that is reported.
 	minDemandChange = 0.25
-	// unreportedIntervals is for how many report intervals the other VMs may spend
-	// tokens before this VM learns of it: one until their reports, plus the latency
-	// from another region. One more request of each VM is added.
-	unreportedIntervals = 1.5
 	// maxRefillGap is the longest time for which a bucket is refilled at once. A VM
 	// that was paused for longer has not counted what the others have spent in the
 	// meantime, and starts without tokens like a new process.
@@ -65,18 +55,26 @@
 	buckets map[string]*bucket
 	// byHash indexes the buckets by WorkspaceHash, for the reports of peers.
 	byHash  map[uint32]*bucket
+	self    string
 	peers   map[string]*peer
-	members int
-	// ticks counts calls of Tick.
-	ticks int
+	members map[string]bool
+	contact contact
+	// ticks counts calls of Tick, and interval is the time between the last two.
+	// reportAll means that the next report names all uses.
+	ticks     int
+	interval  time.Duration
+	reportAll bool
 }
 
 // bucket is the token bucket of one workspace, as estimated by this VM.
 type bucket struct {
 	name        string
+	hash        uint32
 	rate, burst float64
-	// tokens estimates the tokens left for all VMs. allowance is how many of them
-	// this VM may spend before the next reports.
+	// fraction is the part of rate and burst that the VMs in touch may spend. tokens
+	// estimates the tokens left for them. allowance is how many of them this VM may
+	// spend before the next reports.
+	fraction          float64
 	tokens, allowance float64
 	refilled          time.Time
 	// admitted counts all requests that this VM admitted, requested those it received
@@ -84,31 +82,21 @@
 	admitted  int64
 	demand    float64
 	requested float64
-	// share is this VM's fraction of the demand of all VMs.
-	share float64
-	// unreported is how many tokens the other VMs may spend before their next
-	// reports arrive. It is infinite while too few of them report.
+	// share is this VM's fraction of the demand of the VMs in touch. knownDemand is the
+	// demand of all VMs that was known at the last tick.
+	share       float64
+	knownDemand float64
+	// unreported is how many tokens the other VMs in touch may spend before their next
+	// reports arrive.
 	unreported float64
+	// spent counts the tokens that the VMs in touch spent. samples are earlier states.
+	spent   float64
+	samples []sample
 	// reportedAdmitted and reportedDemand are the values of the last report.
 	reportedAdmitted int64
 	reportedDemand   float64
 }
 
-// peer is the state that another VM reported.
-type peer struct {
-	incarnation uint64
-	sequence    uint64
-	lastReport  time.Time
-	uses        map[uint32]*peerUse
-}
-
-type peerUse struct {
-	admitted int64
-	demand   float64
-	// assumed is the number of tokens subtracted for the peer since its last report.
-	assumed float64
-}
-
 // Use is one VM's use of a workspace's rate. Workspace is the hash of its name,
 // Admitted the number of requests that the VM has admitted since its start, and
 // Demand its requests per second, including refused ones.
@@ -118,9 +106,24 @@
 	Demand    float64
 }
 
+// Report is one VM's report to the others. Uses are those that changed since the last
+// report. Unheard are the VMs that it has not heard lately, and Members the number of
+// VMs that it counts among those that may spend.
+type Report struct {
+	VM          string
+	Incarnation uint64
+	Sequence    uint64
+	Uses        []Use
+	Unheard     Unheard
+	Members     int
+}
+
 // New returns a limiter without rates, which admits every request.
 func New() *Limiter {
-	return &Limiter{buckets: map[string]*bucket{}, byHash: map[uint32]*bucket{}, peers: map[string]*peer{}, members: 1}
+	return &Limiter{
+		buckets: map[string]*bucket{}, byHash: map[uint32]*bucket{}, peers: map[string]*peer{},
+		contact: contact{vms: 1, inTouch: 1, anchored: time.Now()},
+	}
 }
 
 // SetSlack sets by how many requests a workspace may exceed its rate in a window.
@@ -133,9 +136,7 @@
 
 // WorkspaceHash returns the hash that identifies a workspace in reports.
 func WorkspaceHash(workspace string) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(workspace))
-	return h.Sum32()
+	return hashName(workspace)
 }
 
 // SetPolicy applies the rates that a policy declares. A new bucket starts empty,
@@ -152,39 +153,24 @@
 		}
 		b := l.buckets[w.Name]
 		if b == nil {
-			b = &bucket{name: w.Name, refilled: now, share: 1 / float64(max(1, l.members))}
+			b = &bucket{name: w.Name, hash: WorkspaceHash(w.Name), refilled: now, share: 1, fraction: 1 / float64(l.contact.vms)}
 		}
 		b.rate, b.burst = w.Rate, w.Burst+max(minSlackFraction, maxSlackFraction-slackFractionStep*w.Rate)*float64(l.slack)
-		b.tokens = min(b.tokens, b.burst)
+		b.tokens = min(b.tokens, b.capacity())
 		buckets[w.Name] = b
-		l.byHash[WorkspaceHash(w.Name)] = b
+		l.byHash[b.hash] = b
 	}
 	l.buckets = buckets
 }
 
-// SetMembers sets the registered VMs.
-func (l *Limiter) SetMembers(vms []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.members = max(1, len(vms))
-	registered := map[string]bool{}
-	for _, vm := range vms {
-		registered[vm] = true
-	}
-	for vm, p := range l.peers {
-		if !registered[vm] && time.Since(p.lastReport) > peerRetention {
-			delete(l.peers, vm)
-		}
-	}
-}
-
 // Decision states whether a request may run, and the state of the bucket that
 // decided it.
 type Decision struct {
 	Allowed bool
 	// Tokens and Allowance are the values before the request.
 	Tokens, Allowance float64
-	Share             float64
+	// Share is the part of the rate that this VM may spend.
+	Share float64
 	// RetryAfter is how long the caller of a refused request should wait before it
 	// sends the request again.
 	RetryAfter time.Duration
@@ -200,11 +186,12 @@
 	}
 	b.refill(time.Now())
 	b.requested++
-	d := Decision{Tokens: b.tokens, Allowance: b.allowance, Share: b.share}
+	d := Decision{Tokens: b.tokens, Allowance: b.allowance, Share: b.share * b.fraction}
 	if b.tokens >= 1 && (b.allowance >= 1 || b.tokens-b.unreported >= 1) {
 		b.tokens--
 		b.allowance = max(0, b.allowance-1)
 		b.admitted++
+		b.spent++
 		d.Allowed = true
 		return d
 	}
@@ -217,9 +204,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.buckets[workspace]; b != nil {
-		b.tokens = min(b.tokens+1, b.burst)
+		b.tokens = min(b.tokens+1, b.capacity())
 		b.allowance++
 		b.admitted--
+		b.spent--
 	}
 }
 
@@ -228,11 +216,11 @@
 	gap := now.Sub(b.refilled)
 	b.refilled = now
 	if gap > maxRefillGap {
-		b.tokens, b.allowance = min(b.tokens, 0), 0
+		b.tokens, b.allowance, b.samples = min(b.tokens, 0), 0, nil
 		return
 	}
-	added := b.rate * gap.Seconds()
-	b.tokens = min(b.tokens+added, b.burst)
+	added := b.rate * b.fraction * gap.Seconds()
+	b.tokens = min(b.tokens+added, b.capacity())
 	b.allowance = min(b.allowance+b.share*added, b.burst)
 }
 
@@ -245,13 +233,13 @@
 // retryAfter estimates when a token will be available to this VM.
 func (b *bucket) retryAfter() time.Duration {
 	missing := max(1-b.tokens, 1-b.allowance)
-	return min(max(time.Duration(missing/(b.rate*b.share)*float64(time.Second)), minRetryAfter), maxRetryAfter)
+	return min(max(time.Duration(missing/(b.rate*b.share*b.fraction)*float64(time.Second)), minRetryAfter), maxRetryAfter)
 }
 
 // report returns the use to report. A demand below minDemand is reported as zero,
 // since peers would otherwise count it until the next full report.
 func (b *bucket) report() Use {
-	u := Use{Workspace: WorkspaceHash(b.name), Admitted: b.admitted}
+	u := Use{Workspace: b.hash, Admitted: b.admitted}
 	if b.demand > minDemand {
 		u.Demand = b.demand
 	}
@@ -273,14 +261,18 @@
 	now := time.Now()
 	weight := min(1, elapsed.Seconds()/demandWindow.Seconds())
 	l.ticks++
-	full := l.ticks%fullReportTicks == 0
+	l.interval = elapsed
+	l.updateContact(now, elapsed)
+	full := l.reportAll || l.ticks%fullReportTicks == 0
+	l.reportAll = false
 	uses := make([]Use, 0, len(l.buckets))
 	for _, b := range l.buckets {
 		b.demand += weight * (b.requested/max(elapsed.Seconds(), 1e-3) - b.demand)
 		b.requested = 0
 		b.refill(now)
-		l.assumeSpending(b, now, elapsed)
+		l.divide(b, now, elapsed)
 		l.renewAllowance(b, elapsed)
+		b.remember(now)
 		if full && (b.admitted != 0 || b.demand > minDemand) || b.changed() {
 			uses = append(uses, b.report())
 			b.reportedAdmitted, b.reportedDemand = b.admitted, b.demand
@@ -289,79 +281,29 @@
 	return uses
 }
 
-// assumeSpending subtracts tokens for silent peers, which may still serve callers.
-func (l *Limiter) assumeSpending(b *bucket, now time.Time, elapsed time.Duration) {
-	timeout := max(silentTimeout, time.Duration(silentIntervals*float64(elapsed)))
-	for _, p := range l.peers {
-		u := p.uses[WorkspaceHash(b.name)]
-		if u == nil || now.Sub(p.lastReport) < timeout {
-			continue
-		}
-		spent := min(u.demand, b.rate*u.demand/max(l.totalDemand(b), minDemand)) * elapsed.Seconds()
-		u.assumed += spent
-		b.tokens -= spent
-	}
-}
-
-// totalDemand returns the demand of all VMs.
-func (l *Limiter) totalDemand(b *bucket) float64 {
-	total := max(b.demand, minDemand)
-	known := 1
-	hash := WorkspaceHash(b.name)
-	for _, p := range l.peers {
-		known++
-		if u := p.uses[hash]; u != nil {
-			total += max(u.demand, minDemand)
-		} else {
-			total += minDemand
-		}
-	}
-	// Members that have never reported may have as much demand as this VM.
-	return total + max(b.demand, minDemand)*float64(max(0, l.members-known))
-}
-
-// renewAllowance sets this VM's share and its allowance of the tokens left.
-func (l *Limiter) renewAllowance(b *bucket, elapsed time.Duration) {
-	total := l.totalDemand(b)
-	b.share = max(b.demand, minDemand) / total
-	b.unreported = math.Inf(1)
-	if l.hasRecentReports() {
-		b.unreported = unreportedIntervals*total*(1-b.share)*elapsed.Seconds() + float64(l.members-1)
-	}
-	b.allowance = b.share * b.tokens
-	if b.burst < float64(l.members)/2 {
-		b.allowance = roundUpRandomly(b.allowance)
-	}
-	if l.isLightlyLoaded(b) {
-		b.allowance = max(b.allowance, lightBaseAllowance+lightDemandIntervals*b.demand*elapsed.Seconds())
-	}
-	switch n := float64(l.members); {
-	case b.tokens >= n/2:
-		b.allowance = max(2, b.allowance)
-	case b.tokens >= max(1, n/4):
-		b.allowance = max(1, b.allowance)
-	}
-}
-
 // ApplyReport subtracts the tokens that another VM has spent since its last report.
 // A report that arrives after a later one of the same process is ignored.
-func (l *Limiter) ApplyReport(vm string, incarnation, sequence uint64, uses []Use) {
+func (l *Limiter) ApplyReport(r Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.peers[vm]
-	if p == nil || p.incarnation != incarnation {
-		p = &peer{incarnation: incarnation, uses: map[uint32]*peerUse{}}
-		l.peers[vm] = p
-	} else if sequence <= p.sequence {
+	now := time.Now()
+	p := l.peers[r.VM]
+	if p == nil || p.incarnation != r.Incarnation {
+		p = l.replacePeer(r, now)
+	} else if r.Sequence <= p.sequence {
 		return
 	}
 	first := p.lastReport.IsZero()
-	p.sequence, p.lastReport = sequence, time.Now()
-	for _, reported := range uses {
+	p.sequence, p.lastReport, p.members = r.Sequence, now, r.Members
+	p.deaf = l.self != "" && r.Unheard.contains(hashName(l.self))
+	if !p.deaf {
+		p.lastMutual = now
+	}
+	for _, reported := range r.Uses {
 		b := l.byHash[reported.Workspace]
 		u := p.uses[reported.Workspace]
 		if u == nil {
-			u = &peerUse{}
+			u = &peerUse{loss: p.losses}
 			p.uses[reported.Workspace] = u
 			if first {
 				// The peer may have spent these tokens long before its first report
@@ -370,9 +312,21 @@
 			}
 		}
 		if b != nil {
-			b.tokens -= float64(reported.Admitted-u.admitted) - u.assumed
-			b.tokens = min(b.tokens, b.burst)
+			b.spend(p, u, float64(reported.Admitted-u.admitted), now)
+			b.tokens = min(b.tokens, b.capacity())
 		}
-		u.admitted, u.demand, u.assumed = reported.Admitted, reported.Demand, 0
+		u.admitted, u.demand = reported.Admitted, reported.Demand
+	}
+}
+
+// replacePeer records a peer that is heard for the first time, or a new process of it.
+// What was held for the earlier process counts as spent.
+func (l *Limiter) replacePeer(r Report, now time.Time) *peer {
+	p := &peer{incarnation: r.Incarnation, uses: map[uint32]*peerUse{}}
+	if !l.members[r.VM] {
+		p.unregistered = now
 	}
+	l.peers[r.VM] = p
+	l.reportAll = true
+	return p
 }
--- /dev/null
+++ b/internal/coordination/fgquota/partition_test.go
@@ -0,0 +1,179 @@
+package fgquota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
+)
+
+const (
+	// cutFrom and cutUntil bound the partition of each case, in the time of its run.
+	cutFrom, cutUntil = 6 * time.Second, 22 * time.Second
+	// registrationLoss is how long after the cut the store drops VMs that do not reach it.
+	registrationLoss = 5 * time.Second
+)
+
+// partitionCase is a partition of a fleet, and what happens meanwhile.
+type partitionCase struct {
+	name string
+	// cut reports whether messages from one VM to another are lost.
+	cut func(from, to, n int) bool
+	// withoutStore reports whether a VM does not reach the store. The others then see it
+	// deregistered after registrationLoss.
+	withoutStore func(vm, n int) bool
+	// during is called at each step.
+	during func(f *fleet, at time.Duration)
+	// demandAt is the part of the demand that arrives at a VM, 1 if it is nil.
+	demandAt func(vm, n int) float64
+}
+
+func region(vm int) int { return vm % 3 }
+
+// groups returns a cut between the VMs for which side differs.
+func groups(side func(vm, n int) int) func(from, to, n int) bool {
+	return func(from, to, n int) bool { return side(from, n) != side(to, n) }
+}
+
+func partitionCases() []partitionCase {
+	first := func(count func(n int) int) func(vm, n int) int {
+		return func(vm, n int) int {
+			if vm < count(n) {
+				return 1
+			}
+			return 0
+		}
+	}
+	one := first(func(int) int { return 1 })
+	third := first(func(n int) int { return n / 3 })
+	// Two VMs that reach neither each other nor anyone else.
+	two := func(vm, _ int) int { return max(0, 2-vm) }
+	isolated := func(side func(vm, n int) int) func(vm, n int) bool {
+		return func(vm, n int) bool { return side(vm, n) != 0 }
+	}
+	return []partitionCase{
+		{name: "one VM cut off", cut: groups(one), withoutStore: isolated(one)},
+		{name: "two VMs cut off from all", cut: groups(two), withoutStore: isolated(two)},
+		{name: "a third cut off", cut: groups(third), withoutStore: isolated(third)},
+		{name: "a third cut off from the others, not the store", cut: groups(third)},
+		{name: "a region cut off", cut: groups(func(vm, _ int) int { return region(vm) / 2 })},
+		{name: "regions cut off from each other", cut: groups(func(vm, _ int) int { return region(vm) })},
+		{name: "one direction", cut: func(from, to, n int) bool { return third(from, n) == 1 && third(to, n) == 0 }},
+		{name: "one direction, then the other too", cut: groups(third), during: func(f *fleet, at time.Duration) {
+			if at < cutFrom+4*time.Second {
+				f.cut = func(from, to, n int) bool { return third(from, n) == 1 && third(to, n) == 0 }
+			}
+		}},
+		{name: "demand only where it is cut off", cut: groups(third), withoutStore: isolated(third), demandAt: func(vm, n int) float64 { return float64(third(vm, n)) }},
+		{name: "one VM is paused and resumes", cut: groups(one), during: func(f *fleet, at time.Duration) {
+			f.cut, f.paused = nil, map[int]bool{0: at >= cutFrom && at < cutFrom+4*time.Second}
+		}},
+		{name: "one VM restarts while a third is cut off", cut: groups(third), withoutStore: isolated(third), during: func(f *fleet, at time.Duration) {
+			if at == cutFrom+3*time.Second || at == cutFrom+7*time.Second {
+				f.restart(0)
+			}
+		}},
+		{name: "VMs join and leave while a third is cut off", cut: groups(third), withoutStore: isolated(third), during: func(f *fleet, at time.Duration) {
+			n := len(f.limiters)
+			if at == cutFrom+2*time.Second {
+				f.silent[n-1] = true
+				f.absent = map[int]bool{n - 1: true}
+			}
+			if at == cutFrom+8*time.Second {
+				f.silent[n-1], f.absent = false, nil
+				f.restart(n - 1)
+			}
+		}},
+	}
+}
+
+// Guards against a rate that is exceeded, or hardly usable, while VMs cannot reach each
+// other and demand rises eightfold on all sides.
+func TestPartitions(t *testing.T) {
+	for _, vms := range []int{7, 28, 118} {
+		for _, c := range partitionCases() {
+			for _, rate := range []float64{20, 400} {
+				t.Run(fmt.Sprintf("%d/%s/%.0f", vms, c.name, rate), func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) { playPartition(t, c, vms, rate) })
+				})
+			}
+		}
+	}
+}
+
+func playPartition(t *testing.T, c partitionCase, vms int, rate float64) {
+	const seed, before, rise = 1, 0.5, 8
+	r := rand.New(rand.NewPCG(seed, seed))
+	f := newFleet(vms, 55*time.Millisecond, fgsteer.WorkspaceSpec{Name: "w", Rate: rate, Burst: rate})
+	weights := make([]float64, vms)
+	total := 0.0
+	for i := range weights {
+		weights[i] = 1
+		if c.demandAt != nil {
+			weights[i] = c.demandAt(i, vms)
+		}
+		total += weights[i]
+	}
+	var admitted []time.Time
+	during := 0
+	for at := time.Duration(0); at < cutUntil+8*time.Second; at += step {
+		f.cut, f.withoutStore = nil, nil
+		demand := before * rate
+		if at >= cutFrom && at < cutUntil {
+			f.cut, f.withoutStore = c.cut, c.withoutStore
+			if at > cutFrom+500*time.Millisecond {
+				demand *= rise
+			}
+		}
+		if c.during != nil {
+			c.during(f, at)
+		}
+		f.updateMembers(at > cutFrom+registrationLoss)
+		if at > 2*time.Second {
+			for i, w := range weights {
+				if f.paused[i] || f.absent[i] {
+					continue
+				}
+				for range poisson(r, demand*w/total*step.Seconds()) {
+					if f.limiters[i].Admit("w").Allowed {
+						admitted = append(admitted, time.Now())
+						if at >= cutFrom && at < cutUntil {
+							during++
+						}
+					}
+				}
+			}
+		}
+		f.advance()
+	}
+	allowed := (rate*testWindow.Seconds()+rate)*(1+testExcess) + testSlack
+	most := maxInWindow(admitted, testWindow)
+	t.Logf("seed %d: %d admitted in a window, allowed %.0f; %.2f of the rate used during the partition", seed, most, allowed, float64(during)/rate/(cutUntil-cutFrom).Seconds())
+	if float64(most) > allowed {
+		t.Errorf("seed %d: %d admitted in a window, allowed %.0f", seed, most, allowed)
+	}
+}
+
+// updateMembers gives each limiter the members that it sees registered.
+func (f *fleet) updateMembers(dropped bool) {
+	for i, limiter := range f.limiters {
+		if f.withoutStore != nil && f.withoutStore(i, len(f.limiters)) {
+			continue
+		}
+		var names []string
+		for j, name := range f.names {
+			if !f.absent[j] && !(dropped && f.withoutStore != nil && f.withoutStore(j, len(f.limiters))) {
+				names = append(names, name)
+			}
+		}
+		if !slices.Equal(names, f.seen[i]) {
+			f.seen[i] = names
+			limiter.SetMembers(names)
+		}
+	}
+}
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -9,7 +9,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgpath"
-	"github.com/filbertgap/filbertgap/internal/coordination/fgquota"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgrelay"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
@@ -101,11 +100,7 @@
 		StoreEra: position.Era, StoreRevision: position.Revision, StoreAgeMs: g.mirror.Age().Milliseconds(), Leaving: g.leaving.Load(),
 		NoPath: g.path.Status() != fgpath.Open,
 	}
-	for _, u := range g.limiter.Tick(elapsed) {
-		state.Workspaces = append(state.Workspaces, &fgwire.WorkspaceUse{
-			Workspace: u.Workspace, Admitted: u.Admitted, Demand: uint32(10 * u.Demand),
-		})
-	}
+	g.addRates(state, elapsed)
 	state.Crashes = g.crashReports()
 	state.Limits = g.limitReports()
 	p := g.updatePlan()
@@ -116,11 +111,7 @@
 // applyState applies the state of another gateway, which came directly from its peer
 // address, or from another gateway if that is empty.
 func (g *Gateway) applyState(s *fgwire.GatewayState, address string) {
-	uses := make([]fgquota.Use, len(s.GetWorkspaces()))
-	for i, u := range s.GetWorkspaces() {
-		uses[i] = fgquota.Use{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted(), Demand: float64(u.GetDemand()) / 10}
-	}
-	g.limiter.ApplyReport(s.GetVm(), s.GetIncarnation(), s.GetSequence(), uses)
+	g.limiter.ApplyReport(rateReport(s))
 	g.applyCrashReports(s.GetCrashes())
 	g.applyLimitReports(s.GetVm(), s.GetLimits())
 	now := time.Now()
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -175,6 +175,7 @@
 			Region: o.Settings.Self.Region, VM: o.Settings.Self.VM,
 		}),
 	}
+	g.limiter.SetSelf(o.Settings.Self.VM)
 	g.bodies.limit = o.Settings.MemoryBytes / bodyMemoryDivisor
 	g.pool.SetMaxHeadBytes(o.Settings.MaxResponseHeaderBytes)
 	g.pool.SetHooks(fgpool.Hooks{Dial: o.DialUpstream, Connected: g.observeConnection})
