Tell old use of rates from new, and admit less of a sudden excess

Cause: reports name only what changed, so that a gateway that has just started counted the total of a use that is first in a later report as spent now. A lightly loaded workspace could spend two tokens at each of 118 gateways between two reports, and one that asks for more than its rate two at each once half as many tokens as gateways were back.

Between two reports an idle workspace gets one token at each gateway if there are more gateways than tokens. The least allowance of one or two tokens applies only while less is asked for than the rate.

--- a/internal/coordination/fgquota/contact.go
+++ b/internal/coordination/fgquota/contact.go
@@ -89,9 +89,9 @@
 	inTouch                  bool
 	inTouchSince, apartSince time.Time
 	losses                   int
-	members      int
-	unregistered time.Time
-	uses         map[uint32]*peerUse
+	members                  int
+	unregistered             time.Time
+	uses                     map[uint32]*peerUse
 }
 
 func (p *peer) use(workspace uint32) *peerUse {
@@ -103,6 +103,16 @@
 	return u
 }
 
+// meet records that the peer is in touch. It reports whether the peer has missed
+// reports for so long that it needs all uses, to tell old ones from new.
+func (p *peer) meet(now time.Time) bool {
+	if p.inTouch {
+		return false
+	}
+	p.inTouch, p.inTouchSince = true, now
+	return now.Sub(p.apartSince) > frozenTime
+}
+
 // contact is what this VM knows of its contact with the others at the last tick.
 type contact struct {
 	// vms is the number of VMs that may spend, inTouch how many of them are in touch
@@ -190,11 +200,7 @@
 		switch {
 		case !p.deaf && now.Sub(p.lastReport) < timeout:
 			c.inTouch++
-			if !p.inTouch {
-				p.inTouch, p.inTouchSince = true, now
-				// The peer has missed changes, which it must tell from new use.
-				l.reportAll = l.reportAll || now.Sub(p.apartSince) > frozenTime
-			}
+			l.reportAll = p.meet(now) || l.reportAll
 			continue
 		case p.inTouch:
 			p.inTouch, p.apartSince = false, now
--- a/internal/coordination/fgquota/division.go
+++ b/internal/coordination/fgquota/division.go
@@ -11,6 +11,8 @@
 
 // peerUse is a peer's use of one workspace's rate.
 type peerUse struct {
+	// reported means that the peer has reported a use.
+	reported bool
 	admitted int64
 	demand   float64
 	// While the peer is apart, and until its first report after that, held is what was
@@ -136,7 +138,7 @@
 		u.held, u.fraction = 0, 0
 	}
 	if !u.isApart() {
-		b.tokens -= spent
+		b.tokens = min(b.tokens-spent, b.capacity())
 		b.spent += spent
 		return
 	}
@@ -147,7 +149,8 @@
 		u.held = max(0, min(u.held, u.fraction*b.burst)-spent)
 	}
 	if p.inTouch {
-		b.tokens += u.held
+		b.fraction = min(b.fraction+u.fraction, 1)
+		b.tokens = min(b.tokens+u.held, b.capacity())
 		u.held, u.fraction = 0, 0
 	}
 }
--- a/internal/coordination/fgquota/lightload.go
+++ b/internal/coordination/fgquota/lightload.go
@@ -18,6 +18,17 @@
 	// This bounds the excess when demand rises suddenly on many VMs.
 	lightBaseAllowance   = 2
 	lightDemandIntervals = 2
+	// With more VMs than tokens, demand that rises everywhere at once could still exceed
+	// the tokens several times before the first reports. If the VMs have known of less
+	// demand than idleFraction of the rate for idleTicks ticks, each may spend only
+	// idleAllowance tokens in two report intervals: at 118 VMs and a rate of 20 two
+	// tokens in each led to 166 requests where 152 are allowed. With more VMs than a
+	// rate has requests in idleWindow, one token in each is too many as well, and the
+	// second requests of such small workspaces at a VM are not refused for it.
+	idleFraction  = 0.1
+	idleTicks     = 2
+	idleWindow    = 5
+	idleAllowance = 1
 	// unreportedIntervals is for how many report intervals the other VMs may spend
 	// tokens before this VM learns of it: one until their reports, plus the latency
 	// from another region. One more request of each VM is added.
@@ -40,6 +51,9 @@
 		}
 	}
 	b.knownDemand = reported + silent
+	if b.idle++; b.knownDemand-b.demand >= idleFraction*b.rate {
+		b.idle = 0
+	}
 	b.share = max(b.demand, minDemand) / total
 	n := float64(l.contact.inTouch)
 	b.unreported = unreportedIntervals*total*(1-b.share)*elapsed.Seconds() + n - 1
@@ -47,15 +61,27 @@
 	if b.capacity() < n/2 {
 		b.allowance = roundUpRandomly(b.allowance)
 	}
-	if b.isLightlyLoaded(reported) {
+	switch isLight := b.isLightlyLoaded(reported); {
+	case b.idle > idleTicks && n > b.capacity() && n <= b.burst+idleWindow*b.rate:
+		b.allowance = min(b.allowance, idleAllowance)
+		if isLight {
+			b.allowance = idleAllowance
+		}
+		b.allowance = max(0, b.allowance-b.recent)
+	case isLight:
 		b.allowance = max(b.allowance, lightBaseAllowance+lightDemandIntervals*b.demand*elapsed.Seconds())
 	}
-	switch {
-	case b.tokens >= n/2:
-		b.allowance = max(2, b.allowance)
-	case b.tokens >= max(1, n/4):
-		b.allowance = max(1, b.allowance)
+	// If less is asked for than the rate, a VM can have whole tokens although the others
+	// may have them too.
+	if reported <= b.fraction*b.rate+lightDemandMargin {
+		switch {
+		case b.tokens >= n/2:
+			b.allowance = max(2, b.allowance)
+		case b.tokens >= max(1, n/4):
+			b.allowance = max(1, b.allowance)
+		}
 	}
+	b.recent = 0
 }
 
 // isLightlyLoaded reports whether the demand of the VMs in touch is well below their
--- a/internal/coordination/fgquota/limiter.go
+++ b/internal/coordination/fgquota/limiter.go
@@ -60,10 +60,10 @@
 	members map[string]bool
 	contact contact
 	// ticks counts calls of Tick, and interval is the time between the last two.
-	// reportAll means that the next report names all uses.
-	ticks     int
-	interval  time.Duration
-	reportAll bool
+	// reportAll means that the next report names all uses, complete that the last one did.
+	ticks               int
+	interval            time.Duration
+	reportAll, complete bool
 }
 
 // bucket is the token bucket of one workspace, as estimated by this VM.
@@ -89,6 +89,10 @@
 	// unreported is how many tokens the other VMs in touch may spend before their next
 	// reports arrive.
 	unreported float64
+	// recent is how many tokens this VM has spent since the last tick.
+	recent float64
+	// idle is for how many ticks the known demand has been far below the rate.
+	idle int
 	// spent counts the tokens that the VMs in touch spent. samples are earlier states.
 	spent   float64
 	samples []sample
@@ -98,22 +102,25 @@
 }
 
 // Use is one VM's use of a workspace's rate. Workspace is the hash of its name,
-// Admitted the number of requests that the VM has admitted since its start, and
-// Demand its requests per second, including refused ones.
+// Admitted the number of requests that the VM has admitted since its start, Earlier
+// the part of them that was in an earlier report, and Demand its requests per second,
+// including refused ones.
 type Use struct {
 	Workspace uint32
 	Admitted  int64
+	Earlier   int64
 	Demand    float64
 }
 
 // Report is one VM's report to the others. Uses are those that changed since the last
-// report. Unheard are the VMs that it has not heard lately, and Members the number of
+// report, or all of the VM if Complete is set. Unheard are the VMs that it has not heard lately, and Members the number of
 // VMs that it counts among those that may spend.
 type Report struct {
 	VM          string
 	Incarnation uint64
 	Sequence    uint64
 	Uses        []Use
+	Complete    bool
 	Unheard     Unheard
 	Members     int
 }
@@ -192,6 +199,7 @@
 		b.allowance = max(0, b.allowance-1)
 		b.admitted++
 		b.spent++
+		b.recent++
 		d.Allowed = true
 		return d
 	}
@@ -208,6 +216,7 @@
 		b.allowance++
 		b.admitted--
 		b.spent--
+		b.recent = max(0, b.recent-1)
 	}
 }
 
@@ -239,7 +248,7 @@
 // report returns the use to report. A demand below minDemand is reported as zero,
 // since peers would otherwise count it until the next full report.
 func (b *bucket) report() Use {
-	u := Use{Workspace: b.hash, Admitted: b.admitted}
+	u := Use{Workspace: b.hash, Admitted: b.admitted, Earlier: b.reportedAdmitted}
 	if b.demand > minDemand {
 		u.Demand = b.demand
 	}
@@ -264,7 +273,7 @@
 	l.interval = elapsed
 	l.updateContact(now, elapsed)
 	full := l.reportAll || l.ticks%fullReportTicks == 0
-	l.reportAll = false
+	l.reportAll, l.complete = false, full
 	uses := make([]Use, 0, len(l.buckets))
 	for _, b := range l.buckets {
 		b.demand += weight * (b.requested/max(elapsed.Seconds(), 1e-3) - b.demand)
@@ -298,25 +307,37 @@
 	p.deaf = l.self != "" && r.Unheard.contains(hashName(l.self))
 	if !p.deaf {
 		p.lastMutual = now
+		l.reportAll = p.meet(now) || l.reportAll
 	}
 	for _, reported := range r.Uses {
-		b := l.byHash[reported.Workspace]
-		u := p.uses[reported.Workspace]
-		if u == nil {
-			u = &peerUse{loss: p.losses}
-			p.uses[reported.Workspace] = u
+		u := p.use(reported.Workspace)
+		if !u.reported {
+			u.reported = true
+			// The peer may have spent these tokens long before this VM first heard of
+			// it. Earlier versions do not tell old use from new after the first report.
+			u.admitted = reported.Earlier
 			if first {
-				// The peer may have spent these tokens long before its first report
-				// reached this VM.
 				u.admitted = reported.Admitted
 			}
 		}
-		if b != nil {
+		if b := l.byHash[reported.Workspace]; b != nil {
 			b.spend(p, u, float64(reported.Admitted-u.admitted), now)
-			b.tokens = min(b.tokens, b.capacity())
 		}
 		u.admitted, u.demand = reported.Admitted, reported.Demand
 	}
+	if r.Complete {
+		l.settleUnused(p, now)
+	}
+}
+
+// settleUnused returns what was held for a peer of the buckets of which it has used
+// nothing, according to its complete report.
+func (l *Limiter) settleUnused(p *peer, now time.Time) {
+	for hash, b := range l.byHash {
+		if u := p.uses[hash]; u != nil && !u.reported && u.isApart() {
+			b.spend(p, u, 0, now)
+		}
+	}
 }
 
 // replacePeer records a peer that is heard for the first time, or a new process of it.
@@ -330,3 +351,10 @@
 	l.reportAll = true
 	return p
 }
+
+// LastComplete reports whether the uses that Tick last returned were all of this VM.
+func (l *Limiter) LastComplete() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.complete
+}
--- a/internal/coordination/fgquota/limiter_test.go
+++ b/internal/coordination/fgquota/limiter_test.go
@@ -109,7 +109,7 @@
 				limiter.ObserveStore(0)
 			}
 			report := Report{VM: f.names[i], Sequence: f.sequence, Uses: limiter.Tick(now.Sub(f.lastTick))}
-			report.Unheard, report.Members = limiter.Unheard(), limiter.Known()
+			report.Complete, report.Unheard, report.Members = limiter.LastComplete(), limiter.Unheard(), limiter.Known()
 			for j := range f.limiters {
 				if i != j && !f.silent[i] && !f.silent[j] && (f.cut == nil || !f.cut(i, j, len(f.limiters))) {
 					f.inTransit = append(f.inTransit, message{now.Add(f.delay), i, j, report})
--- a/internal/coordination/fgrelay/fleet_test.go
+++ b/internal/coordination/fgrelay/fleet_test.go
@@ -146,7 +146,7 @@
 			s := state{vm: i, incarnation: n.incarnation, sequence: n.sequence}
 			n.limiter.ObserveStore(0)
 			s.report = fgquota.Report{VM: n.spec.VM, Incarnation: n.incarnation, Sequence: n.sequence, Uses: n.limiter.Tick(elapsed)}
-			s.report.Unheard, s.report.Members = n.limiter.Unheard(), n.limiter.Known()
+			s.report.Complete, s.report.Unheard, s.report.Members = n.limiter.LastComplete(), n.limiter.Unheard(), n.limiter.Known()
 			n.layout = NewLayout(n.spec, f.members, func(vm string) bool {
 				at, ok := n.heard[vm]
 				return vm == n.spec.VM || !ok && len(n.heard) == 0 || ok && now.Sub(at) < silentTimeout
@@ -350,7 +350,9 @@
 					f.advance()
 				}
 				allowed := (rate*testWindow.Seconds()+rate)*(1+testExcess) + testSlack
-				if most := maxInWindow(admitted, testWindow); float64(most) > allowed {
+				most := maxInWindow(admitted, testWindow)
+				t.Logf("seed %d: %d admitted in a window, allowed %.0f", seed, most, allowed)
+				if float64(most) > allowed {
 					t.Errorf("seed %d: %d admitted in a window, allowed %.0f", seed, most, allowed)
 				}
 			})
--- a/internal/fggateway/rates.go
+++ b/internal/fggateway/rates.go
@@ -13,9 +13,10 @@
 	g.limiter.ObserveStore(g.mirror.Age())
 	for _, u := range g.limiter.Tick(elapsed) {
 		state.Workspaces = append(state.Workspaces, &fgwire.WorkspaceUse{
-			Workspace: u.Workspace, Admitted: u.Admitted, Demand: uint32(10 * u.Demand),
+			Workspace: u.Workspace, Admitted: u.Admitted, Earlier: u.Earlier, Demand: uint32(10 * u.Demand),
 		})
 	}
+	state.WorkspacesComplete = g.limiter.LastComplete()
 	unheard := g.limiter.Unheard()
 	state.Unheard, state.UnheardBits, state.Spenders = unheard.Hashes, unheard.Bitmap, uint32(g.limiter.Known())
 }
@@ -24,11 +25,11 @@
 func rateReport(s *fgwire.GatewayState) fgquota.Report {
 	r := fgquota.Report{
 		VM: s.GetVm(), Incarnation: s.GetIncarnation(), Sequence: s.GetSequence(),
-		Uses:    make([]fgquota.Use, len(s.GetWorkspaces())),
+		Uses: make([]fgquota.Use, len(s.GetWorkspaces())), Complete: s.GetWorkspacesComplete(),
 		Unheard: fgquota.Unheard{Hashes: s.GetUnheard(), Bitmap: s.GetUnheardBits()}, Members: int(s.GetSpenders()),
 	}
 	for i, u := range s.GetWorkspaces() {
-		r.Uses[i] = fgquota.Use{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted(), Demand: float64(u.GetDemand()) / 10}
+		r.Uses[i] = fgquota.Use{Workspace: u.GetWorkspace(), Admitted: u.GetAdmitted(), Earlier: u.GetEarlier(), Demand: float64(u.GetDemand()) / 10}
 	}
 	return r
 }
