Count refusals within the rate at gateways, and leave silent ones their floor only

Cause: gateway_refused_within_rate_total did not exist.

Change: the counter, for a workspace whose known demand is within its rate. Silent gateways are left 1/n.

--- a/internal/coordination/fgquota/contact.go
+++ b/internal/coordination/fgquota/contact.go
@@ -15,11 +15,9 @@
 	silentIntervals = 1.4
 	// contactCheckInterval bounds the work of finding silent peers between two ticks.
 	contactCheckInterval = 20 * time.Millisecond
-	// frozenTime is how long after the last mutual contact a peer keeps more than its
-	// floor. The peer itself falls to its floor as soon as it notices: up to two report
-	// intervals and silentTimeout later, at most 2.2 s with 0.6 s intervals if only one
-	// direction is cut.
-	frozenTime = 2500 * time.Millisecond
+	// catchUpTime is how long two VMs must have been out of touch for each to report all
+	// uses to the other: their reports of changes were lost.
+	catchUpTime = 2500 * time.Millisecond
 	// isolationTimeout is how long a VM that lacks the store and is in touch with at
 	// most half of the VMs spends its floor. The others reuse the floor of a VM that is
 	// no longer registered after peerRetention, which is longer by a margin for the
@@ -32,8 +30,9 @@
 	// bitsPerMember sizes the bitmap of Unheard. With 8 bits for each member, one in 24
 	// of the VMs in touch counts as unheard by mistake if a third is unheard.
 	bitsPerMember = 8
-	// maxBitmapBytes keeps the bitmap of a fleet of thousands within a datagram.
-	maxBitmapBytes = 512
+	// maxBitmapBytes keeps the bitmap of a fleet of thousands within a datagram. With
+	// fewer bits than minBitmapBytes has, small fleets would often share them.
+	minBitmapBytes, maxBitmapBytes = 32, 512
 )
 
 // Unheard is the set of registered VMs that a VM has not heard lately. The zero value
@@ -60,7 +59,7 @@
 
 // newUnheard returns the set of the VMs with these hashes, of a fleet of a size.
 func newUnheard(hashes []uint32, members int) Unheard {
-	size := min(maxBitmapBytes, (members*bitsPerMember+7)/8)
+	size := max(minBitmapBytes, min(maxBitmapBytes, (members*bitsPerMember+7)/8))
 	if 4*len(hashes) <= size {
 		return Unheard{Hashes: hashes}
 	}
@@ -114,7 +113,7 @@
 		return false
 	}
 	p.inTouch, p.inTouchSince = true, now
-	return now.Sub(p.apartSince) > frozenTime
+	return now.Sub(p.apartSince) > catchUpTime
 }
 
 // contact is what this VM knows of its contact with the others at the last tick.
--- a/internal/coordination/fgquota/division.go
+++ b/internal/coordination/fgquota/division.go
@@ -4,10 +4,8 @@
 
 // VMs that are not in touch with each other divide each bucket. Each side spends the
 // fraction of its members: a floor of 1/n of rate and burst for each of the n VMs that
-// may spend. The floors sum to 1, whoever is in touch with whom. The share of the
-// demand that a VM had at the last mutual contact is left to it for a while if it is
-// higher, since it has yet to notice. It never adds to the own fraction, so that no
-// side depends on the clock of another.
+// may spend. The floors sum to 1, whoever is in touch with whom, and no side depends on
+// the clock of another.
 
 // peerUse is a peer's use of one workspace's rate.
 type peerUse struct {
@@ -16,12 +14,11 @@
 	admitted int64
 	demand   float64
 	// While the peer is apart, and until its first report after that, held is what was
-	// left to it and has not been reported as spent. fraction is its part of the bucket,
-	// share the part of the demand that it had.
+	// left to it and has not been reported as spent, and fraction its part of the bucket.
+	// loss is the value of peer.losses for which held is kept.
 	loss     int
 	held     float64
 	fraction float64
-	share    float64
 }
 
 // isApart reports whether what is left to the peer is held apart from the tokens.
@@ -29,9 +26,8 @@
 
 // sample is the state of a bucket at an earlier tick.
 type sample struct {
-	at               time.Time
-	tokens, fraction float64
-	spent, demand    float64
+	at                      time.Time
+	tokens, fraction, spent float64
 }
 
 // history is the number of samples kept: more than a silenceTimeout needs.
@@ -46,31 +42,21 @@
 	var lost time.Time
 	for _, p := range l.contact.apart {
 		u := p.use(b.hash)
-		fresh := u.loss != p.losses
-		if fresh {
-			u.loss, u.held = p.losses, 0
-			before := b.sampleAt(p.lastMutual)
-			u.share = u.demand / max(before.demand, u.demand, minDemand)
-			if lost.IsZero() || p.lastMutual.Before(lost) {
-				lost = p.lastMutual
-			}
-		}
 		u.fraction = floor
-		if !p.lastMutual.IsZero() && now.Sub(p.lastMutual) < frozenTime {
-			u.fraction = max(u.share, floor)
+		if u.loss == p.losses {
+			u.held += floor * b.rate * elapsed.Seconds()
+			continue
 		}
-		fraction -= u.fraction - floor
-		if fresh {
-			before := b.sampleAt(p.lastMutual)
-			u.held = u.fraction * (before.whole() + b.rate*now.Sub(before.at).Seconds())
-		} else {
-			u.held += u.fraction * b.rate * elapsed.Seconds()
+		last := b.sampleAt(p.lastMutual)
+		u.loss, u.held = p.losses, floor*(last.whole()+b.rate*now.Sub(last.at).Seconds())
+		if lost.IsZero() || p.lastMutual.Before(lost) {
+			lost = p.lastMutual
 		}
 	}
 	if l.contact.isolated {
 		fraction = 0
 	}
-	fraction = min(max(fraction, 0), 1)
+	fraction = min(fraction, 1)
 	if !lost.IsZero() {
 		b.split(b.sampleAt(lost), fraction, now)
 	}
@@ -123,7 +109,7 @@
 		copy(b.samples, b.samples[1:])
 		b.samples = b.samples[:history-1]
 	}
-	b.samples = append(b.samples, sample{at: now, tokens: b.tokens, fraction: b.fraction, spent: b.spent, demand: b.knownDemand})
+	b.samples = append(b.samples, sample{at: now, tokens: b.tokens, fraction: b.fraction, spent: b.spent})
 }
 
 // settleTime is how long after a peer is back in touch its first report of a use may
--- a/internal/coordination/fgquota/limiter.go
+++ b/internal/coordination/fgquota/limiter.go
@@ -59,9 +59,11 @@
 	peers   map[string]*peer
 	members map[string]bool
 	contact contact
-	// ticks counts calls of Tick, and interval is the time between the last two.
+	// ticks counts calls of Tick, ticked is when the last one was, and interval the time
+	// between the last two.
 	// reportAll means that the next report names all uses, complete that the last one did.
 	ticks               int
+	ticked              time.Time
 	interval            time.Duration
 	reportAll, complete bool
 }
@@ -129,6 +131,7 @@
 func New() *Limiter {
 	return &Limiter{
 		buckets: map[string]*bucket{}, byHash: map[uint32]*bucket{}, peers: map[string]*peer{},
+		ticked:  time.Now(),
 		contact: contact{vms: 1, inTouch: 1, anchored: time.Now()},
 	}
 }
@@ -178,6 +181,9 @@
 	Tokens, Allowance float64
 	// Share is the part of the rate that this VM may spend.
 	Share float64
+	// WithinRate means that the request was refused although all VMs together were asked
+	// for no more than the rate, as far as this one knows.
+	WithinRate bool
 	// RetryAfter is how long the caller of a refused request should wait before it
 	// sends the request again.
 	RetryAfter time.Duration
@@ -205,10 +211,16 @@
 		d.Allowed = true
 		return d
 	}
-	d.RetryAfter = b.retryAfter()
+	d.RetryAfter, d.WithinRate = b.retryAfter(), b.isWithinRate(now.Sub(l.ticked))
 	return d
 }
 
+// isWithinRate reports whether the known demand is within the rate, and the requests
+// that this VM got since the last tick within rate and burst.
+func (b *bucket) isWithinRate(sinceTick time.Duration) bool {
+	return b.knownDemand <= b.rate && b.requested <= b.burst+b.rate*sinceTick.Seconds()
+}
+
 // Refund returns the token of a request that did not run.
 func (l *Limiter) Refund(workspace string) {
 	l.mu.Lock()
@@ -272,7 +284,7 @@
 	now := time.Now()
 	weight := min(1, elapsed.Seconds()/demandWindow.Seconds())
 	l.ticks++
-	l.interval = elapsed
+	l.ticked, l.interval = now, elapsed
 	l.updateContact(now, elapsed)
 	full := l.reportAll || l.ticks%fullReportTicks == 0
 	l.reportAll, l.complete = false, full
--- a/internal/coordination/fgquota/partition_test.go
+++ b/internal/coordination/fgquota/partition_test.go
@@ -262,12 +262,12 @@
 			if at == 11*time.Second {
 				f.restart(0)
 			}
-			// The workspace is idle from before the start until 2 s after it.
-			if at > 2*time.Second && at < 9*time.Second || at > 13*time.Second {
+			// The workspace is idle from before the start until a second after it.
+			if at > 2*time.Second && at < 9*time.Second || at > 12*time.Second {
 				for range poisson(r, rate/1.6*step.Seconds()) {
 					vm := r.IntN(vms)
 					allowed := f.limiters[vm].Admit("w").Allowed
-					if vm == 0 && at > 13*time.Second {
+					if vm == 0 && at > 12*time.Second {
 						requested++
 						if !allowed {
 							refused++
@@ -320,3 +320,97 @@
 		}
 	}
 }
+
+// Guards against VMs that are missing from the set of unheard ones, in any form of it,
+// and against many that are in it by mistake.
+func TestUnheard(t *testing.T) {
+	for _, members := range []int{3, 28, 118, 300} {
+		for _, unheard := range []int{0, 1, 2, members / 3, members} {
+			var hashes []uint32
+			for i := range unheard {
+				hashes = append(hashes, hashName(fmt.Sprint("vm-", i)))
+			}
+			u := newUnheard(hashes, members)
+			mistaken := 0
+			for i := range members {
+				if got := u.contains(hashName(fmt.Sprint("vm-", i))); i < unheard && !got {
+					t.Errorf("%d of %d: vm-%d is missing", unheard, members, i)
+				} else if i >= unheard && got {
+					mistaken++
+				}
+			}
+			if size := 4*len(u.Hashes) + len(u.Bitmap); mistaken*10 > members || size > max(minBitmapBytes, members+1) {
+				t.Errorf("%d of %d: %d mistaken, %d bytes", unheard, members, mistaken, size)
+			}
+		}
+	}
+}
+
+// Guards against a VM that is in touch with few others and not with the store, and goes
+// on to spend its floor when the others have forgotten it, and against others that never
+// reuse it.
+func TestLongPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const seed, vms, cutOff, rate, last = 1, 7, 3, 400.0, 45 * time.Second
+		r := rand.New(rand.NewPCG(seed, seed))
+		f := newFleet(vms, 55*time.Millisecond, fgsteer.WorkspaceSpec{Name: "w", Rate: rate, Burst: rate})
+		var admitted []time.Time
+		lately := [2]int{}
+		for at := time.Duration(0); at < last; at += step {
+			if at == cutFrom {
+				f.withoutStore = func(vm, _ int) bool { return vm < cutOff }
+				f.cut = func(from, to, _ int) bool { return (from < cutOff) != (to < cutOff) }
+			}
+			f.updateMembers(at > cutFrom+registrationLoss)
+			for range poisson(r, 2*rate*step.Seconds()) {
+				if vm := r.IntN(vms); f.limiters[vm].Admit("w").Allowed {
+					admitted = append(admitted, time.Now())
+					if at > last-testWindow {
+						lately[min(1, vm/cutOff)]++
+					}
+				}
+			}
+			f.advance()
+		}
+		allowed := (rate*testWindow.Seconds()+rate)*(1+testExcess) + testSlack
+		most := maxInWindow(admitted, testWindow)
+		t.Logf("seed %d: %d admitted in a window, allowed %.0f; lately %d and %d", seed, most, allowed, lately[0], lately[1])
+		if float64(most) > allowed || lately[0] > 0 || float64(lately[1]) < 0.9*rate*testWindow.Seconds() {
+			t.Errorf("seed %d: %d admitted in a window, allowed %.0f; lately %d by those cut off, want none, and %d by the others", seed, most, allowed, lately[0], lately[1])
+		}
+	})
+}
+
+// Guards against a VM that hears the others, but is not heard by them, and spends the
+// whole burst, of which the others spend their part as well.
+func TestUnheardVMSpendsItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const seed, vms, rate = 1, 28, 400.0
+		r := rand.New(rand.NewPCG(seed, seed))
+		f := newFleet(vms, 55*time.Millisecond, fgsteer.WorkspaceSpec{Name: "w", Rate: rate, Burst: rate})
+		var admitted []time.Time
+		for at := time.Duration(0); at < 16*time.Second; at += step {
+			if at == cutFrom {
+				f.cut = func(from, _, _ int) bool { return from == 0 }
+			}
+			if at > cutFrom+3*time.Second {
+				for range poisson(r, 4*rate*step.Seconds()) {
+					vm := 0
+					if at > cutFrom+7500*time.Millisecond {
+						vm = r.IntN(vms)
+					}
+					if f.limiters[vm].Admit("w").Allowed {
+						admitted = append(admitted, time.Now())
+					}
+				}
+			}
+			f.advance()
+		}
+		allowed := (rate*testWindow.Seconds()+rate)*(1+testExcess) + testSlack
+		most := maxInWindow(admitted, testWindow)
+		t.Logf("seed %d: %d admitted in a window, allowed %.0f", seed, most, allowed)
+		if float64(most) > allowed {
+			t.Errorf("seed %d: %d admitted in a window, allowed %.0f", seed, most, allowed)
+		}
+	})
+}
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -171,6 +171,9 @@
 		q.tokenTaken = true
 		return nil
 	}
+	if d.WithinRate {
+		g.metrics.RefusedWithinRate(q.workspace.Name)
+	}
 	return &refusal{
 		status:     http.StatusTooManyRequests,
 		code:       codeAboveRate,
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -17,6 +17,8 @@
 	sends    *prometheus.CounterVec
 	peers    *prometheus.CounterVec
 	detours  *prometheus.CounterVec
+	// withinRate counts refusals for a rate that its workspace did not exceed.
+	withinRate *prometheus.CounterVec
 }
 
 // GatewayCallbacks holds functions that return the current values of metrics. They
@@ -52,7 +54,9 @@
 		detours: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_detours_total",
 			Help: "Requests sent through other gateways by how they ended."}, []string{"result"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours,
+	m.withinRate = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_refused_within_rate_total",
+		Help: "Requests refused for the rate of a workspace that was within it."}, []string{"workspace"})
+	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.withinRate,
 		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return c.StoreAge().Seconds() }),
 		gauge("gateway_store_copy_age_seconds", "Time since the copy of the store was last known to hold all changes.", func() float64 { return c.StoreCopyAge().Seconds() }),
 		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(c.StoreRevision()) }),
@@ -99,5 +103,9 @@
 // SendEnded records a send of a request to an upstream of a group.
 func (m *Gateway) SendEnded(group, result string) { m.sends.WithLabelValues(group, result).Inc() }
 
+// RefusedWithinRate records a request that was refused for the rate of a workspace
+// that was within it.
+func (m *Gateway) RefusedWithinRate(workspace string) { m.withinRate.WithLabelValues(workspace).Inc() }
+
 // DetourEnded records a request that was sent through another gateway.
 func (m *Gateway) DetourEnded(result string) { m.detours.WithLabelValues(result).Inc() }
