--- a/internal/coordination/fgquota/partition_test.go
+++ b/internal/coordination/fgquota/partition_test.go
@@ -284,43 +284,51 @@
 	})
 }
 
-// Guards against a sudden excess in a workspace that is in use, at the moment at which
-// VMs are cut off from each other: each side learns of the cut only after a while.
+// Guards against a sudden excess at the moment at which VMs are cut off from each other,
+// which each side notices only after a while, in a workspace that is idle or in use.
 func TestExcessAsCutBegins(t *testing.T) {
 	for _, vms := range []int{7, 28, 118} {
 		for _, sides := range []int{1, 2, 3} {
+			t.Run(fmt.Sprintf("idle-%d-%d", vms, sides), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { playExcess(t, vms, sides, 0) })
+			})
 			t.Run(fmt.Sprintf("%d-%d", vms, sides), func(t *testing.T) {
 				t.Parallel()
-				synctest.Test(t, func(t *testing.T) {
-					const seed, rate, before, rise, start = 1, 132.0, 0.9, 8, 8 * time.Second
-					r := rand.New(rand.NewPCG(seed, seed))
-					f := newFleet(vms, 55*time.Millisecond, fgsteer.WorkspaceSpec{Name: "w", Rate: rate, Burst: rate})
-					var admitted []time.Time
-					for at := time.Duration(0); at < 16*time.Second; at += step {
-						demand := before * rate
-						if at >= start {
-							demand = rise * rate
-							f.cut = func(from, to, _ int) bool { return from%sides != to%sides }
-						}
-						for range poisson(r, demand*step.Seconds()) {
-							if f.limiters[r.IntN(vms)].Admit("w").Allowed && at > 3*time.Second {
-								admitted = append(admitted, time.Now())
-							}
-						}
-						f.advance()
-					}
-					allowed := (rate*testWindow.Seconds()+rate)*(1+testExcess) + testSlack
-					most := maxInWindow(admitted, testWindow)
-					t.Logf("seed %d: %d admitted in a window, allowed %.0f", seed, most, allowed)
-					if float64(most) > allowed {
-						t.Errorf("seed %d: %d admitted in a window, allowed %.0f", seed, most, allowed)
-					}
-				})
+				synctest.Test(t, func(t *testing.T) { playExcess(t, vms, sides, 0.9) })
 			})
 		}
 	}
 }
 
+// playExcess cuts a fleet into sides and raises the demand from a part of the rate to
+// many times of it.
+func playExcess(t *testing.T, vms, sides int, before float64) {
+	const seed, rate, rise, start = 1, 132.0, 8, 8 * time.Second
+	r := rand.New(rand.NewPCG(seed, seed))
+	f := newFleet(vms, 55*time.Millisecond, fgsteer.WorkspaceSpec{Name: "w", Rate: rate, Burst: rate})
+	var admitted []time.Time
+	for at := time.Duration(0); at < 16*time.Second; at += step {
+		demand := before * rate
+		if at >= start {
+			demand = rise * rate
+			f.cut = func(from, to, _ int) bool { return from%sides != to%sides }
+		}
+		for range poisson(r, demand*step.Seconds()) {
+			if f.limiters[r.IntN(vms)].Admit("w").Allowed && at > 3*time.Second {
+				admitted = append(admitted, time.Now())
+			}
+		}
+		f.advance()
+	}
+	allowed := (rate*testWindow.Seconds()+rate)*(1+testExcess) + testSlack
+	most := maxInWindow(admitted, testWindow)
+	t.Logf("seed %d: %d admitted in a window, allowed %.0f", seed, most, allowed)
+	if float64(most) > allowed {
+		t.Errorf("seed %d: %d admitted in a window, allowed %.0f", seed, most, allowed)
+	}
+}
+
 // Guards against VMs that are missing from the set of unheard ones, in any form of it,
 // and against many that are in it by mistake.
 func TestUnheard(t *testing.T) {
