--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -183,6 +183,7 @@
 			Region: o.Settings.Self.Region, AvailabilityZone: o.Settings.Self.AvailabilityZone, VM: o.Settings.Self.VM,
 		}),
 	}
+	g.limiter.SetSelf(o.Settings.Self.VM)
 	g.bodies.limit = o.Settings.MemoryBytes / bodyMemoryDivisor
 	g.admission.SetMaxBytes(g.bodies.limit / waitingMemoryDivisor)
 	g.pool.SetMaxHeadBytes(o.Settings.MaxResponseHeaderBytes)
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -24,6 +24,8 @@
 	refused *prometheus.CounterVec
 	waiting *prometheus.GaugeVec
 	waits   *prometheus.HistogramVec
+	// withinRate counts refusals for a rate that its workspace did not exceed.
+	withinRate *prometheus.CounterVec
 }
 
 // GatewayCallbacks holds functions that return the current values of metrics. They
@@ -73,7 +75,9 @@
 		Help: "Requests that wait for room by priority."}, []string{"priority"})
 	m.waits = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "gateway_admission_wait_seconds",
 		Help: "Time that requests waited for room by priority and how the wait ended.", Buckets: latencyBuckets}, []string{"priority", "end"})
-	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.loads, m.placed, m.refused, m.waiting, m.waits, roomCollector{c.GroupRoom},
+	m.withinRate = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_refused_within_rate_total",
+		Help: "Requests refused for the rate of a workspace that was within it."}, []string{"workspace"})
+	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.loads, m.placed, m.refused, m.waiting, m.waits, m.withinRate, roomCollector{c.GroupRoom},
 		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return c.StoreAge().Seconds() }),
 		gauge("gateway_store_copy_age_seconds", "Time since the copy of the store was last known to hold all changes.", func() float64 { return c.StoreCopyAge().Seconds() }),
 		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(c.StoreRevision()) }),
@@ -137,6 +141,10 @@
 	m.loads.WithLabelValues(direction).Add(float64(n))
 }
 
+// RefusedWithinRate records a request that was refused for the rate of a workspace
+// that was within it.
+func (m *Gateway) RefusedWithinRate(workspace string) { m.withinRate.WithLabelValues(workspace).Inc() }
+
 // DetourEnded records a request that was sent through another gateway.
 func (m *Gateway) DetourEnded(result string) { m.detours.WithLabelValues(result).Inc() }
 
