Take chance out of two tests of placement

Cause: in 12 runs beside other work, TestUnevenZonesWithoutKeys (0.177, 0.15 allowed) and TestHotKeyChangesRegionGradually (0.26, 0.25 allowed) failed once each: they compared parts of some hundred requests. Change: three times as many requests in the first and 3,000 for each compared part in the second, with the same bounds; the least part in time is 0.82 instead of 0.69.

--- a/internal/coordination/fgaffinity/hotkeys_test.go
+++ b/internal/coordination/fgaffinity/hotkeys_test.go
@@ -33,7 +33,11 @@
 				w.regions[home].weightBits.Store(math.Float64bits(max(minRegionWeight, weight)))
 			}
 			counts := map[string]float64{}
-			const requests = 200
+			// Many where the share is compared, so that chance changes it by little.
+			requests := 20
+			if i%20 == 0 {
+				requests = 3000
+			}
 			for range requests {
 				u := choose(t, b, Criteria{AffinityKey: "o", Accept: func(*Upstream, Estimate) bool { return true }})
 				counts[u.Spec().Region]++
@@ -47,7 +51,7 @@
 				}
 			}
 			if i%20 == 0 {
-				next := counts[home] / requests
+				next := counts[home] / float64(requests)
 				if i > 0 && math.Abs(next-share) > 0.25 {
 					t.Errorf("%.2f of the key's requests changed region in 2 s, at %s", share-next, time.Duration(i)*step)
 				}
--- a/internal/coordination/fgaffinity/load_test.go
+++ b/internal/coordination/fgaffinity/load_test.go
@@ -541,7 +541,9 @@
 func TestUnevenZonesWithoutKeys(t *testing.T) {
 	d := unevenDeployment()
 	d.keyless, d.warmTime, d.coldTime = true, 200*time.Millisecond, 200*time.Millisecond
-	r := checkSimulation(t, 0.69, d, 46*time.Second, 10*time.Second)
+	// Three times as many requests, so that chance moves fewer of them between windows.
+	d.slots, d.queue, d.rate = 3*d.slots, 3*d.queue, 3*d.rate
+	r := checkSimulation(t, 0.82, d, 46*time.Second, 10*time.Second)
 	r.checkShift(t)
 }
 
