Add filbertgap check, which checks a policy before it is sent

Cause: gateways accept a policy with faults such as a route to a service that is not declared, and operators learn of them from failed requests.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	go test -run '^$$' -fuzz FuzzResponse -fuzztime 10s -parallel 4 ./internal/transport/fgpool
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 10s -parallel 4 ./pkg/fgapi
 	go test -run '^$$' -fuzz FuzzUpstreamEntry -fuzztime 10s -parallel 4 ./platform
+	go test -run '^$$' -fuzz FuzzCheckPolicy -fuzztime 10s -parallel 4 ./platform
 
 # Needs protoc; the generated code is committed, so that a build does not.
 generate:
--- a/internal/fgcommand/command.go
+++ b/internal/fgcommand/command.go
@@ -99,7 +99,7 @@
 	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error {
 		return fmt.Errorf("%w: %w; see %s --help", errUsage, err, cmd.CommandPath())
 	})
-	root.AddCommand(newEntry(), newGateway(), newStandin(), newVersion(), newDev(), newLoad())
+	root.AddCommand(newEntry(), newGateway(), newStandin(), newVersion(), newDev(), newLoad(), newCheck())
 	root.AddCommand(operatorCommands()...)
 	markUsageErrors(root)
 	return root
