Apply admission by degrees of the lack of room, and only where it is asked for

Cause: admission at any pressure refused requests that the old limit served: their keys stayed cold and their callers came back. Change: the limits for late, costly and unfair requests apply by the part of the requests that find no room, from 0.1 to 0.6. Groups that routes of different priority share are admitted by urgency only where the settings say so. A starting gateway sends its state four times as often for 3 s, since it spends little of rates until it was heard.

--- a/internal/coordination/fgadmission/controller.go
+++ b/internal/coordination/fgadmission/controller.go
@@ -19,7 +19,7 @@
 	mu sync.Mutex
 	// shared holds the groups that routes of different priority share.
 	shared map[string]bool
-	// loadAware means that the Controller decides about all groups.
+	// loadAware means that the Controller decides about shared groups.
 	loadAware bool
 	// upstreams holds the number of upstreams of each group.
 	upstreams map[string]int
@@ -59,7 +59,8 @@
 	c.Wake()
 }
 
-// SetLoadAware sets whether the Controller decides about the requests of all groups.
+// SetLoadAware sets whether the Controller decides about groups that routes of different
+// priority share.
 func (c *Controller) SetLoadAware(on bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -91,8 +92,9 @@
 	}
 }
 
-// Enabled reports whether the Controller decides about the requests of a group: routes of
-// different priority share it, or its upstreams tell their slowdown.
+// Enabled reports whether the Controller decides about the requests of a group: its
+// upstreams tell their slowdown, or routes of different priority share it and SetLoadAware
+// is on.
 func (c *Controller) Enabled(groupName string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -100,7 +102,7 @@
 }
 
 func (c *Controller) enabled(groupName string, now time.Time) bool {
-	if c.loadAware || c.shared[groupName] {
+	if c.loadAware && c.shared[groupName] {
 		return true
 	}
 	g := c.groups[groupName]
--- a/internal/coordination/fgadmission/decision.go
+++ b/internal/coordination/fgadmission/decision.go
@@ -26,10 +26,8 @@
 	// lessUrgentLoad is the limit for requests that compete with more urgent ones, before
 	// the margin is subtracted.
 	lessUrgentLoad = 1.5
-	// baseMargin and maxMargin bound the margin, in load per slot, that requests leave to
-	// more urgent ones.
-	baseMargin = 0.25
-	maxMargin  = 1
+	// maxMargin bounds the margin, in load per slot, that requests leave to more urgent ones.
+	maxMargin = 1
 	// marginGain is the growth of the margin with the blocked part of the more urgent
 	// requests: with 10% blocked, it grows by 0.4.
 	marginGain = 4
@@ -38,16 +36,11 @@
 	// replays, 0.3 left 0.39 of the responses late, and 4 refused more requests for none
 	// more in time.
 	lateMargin = 1.5
-	// calmPressure is the part of requests without room from which on requests that the wait
-	// at an upstream would make late get free slots only.
-	calmPressure = 0.2
-	// A cold run at another candidate takes three times as long as a warm one, and a key's
-	// place in the cache, so that further runs are cold. If it is also late, it is allowed
-	// only up to idleLoad per slot, and only below idlePressure. In a trial with more keys
-	// than the caches hold, allowing it up to 0.3 per slot at any pressure left 0.33 of the
-	// requests in time in place of 0.56.
-	idlePressure = 0.01
-	idleLoad     = 0.5
+	// calmPressure is the part of requests without room up to which all but the margin for
+	// more urgent requests is as in groups without admission.
+	calmPressure = 0.1
+	// strainSpan is how many more must find no room for the limits to apply in full.
+	strainSpan = 0.5
 	// costlyRatio is the ratio of run times from which on a run is costly.
 	costlyRatio = 1.5
 	// starvedLateLimit is the lowest limit for such requests of a starved kind.
@@ -232,37 +225,55 @@
 // loadLimit returns the load per slot at which the request gets no candidate. late means
 // that it can't be in time.
 func (c Competition) loadLimit(late bool) float64 {
-	limit := maxUrgentLoad - min(c.Unserved, refusedMargin)
+	calm := maxUrgentLoad - min(c.Unserved, refusedMargin)
+	if late {
+		calm = unknownLoadLimit
+	}
+	limit := calm - c.strain()*(calm-c.strainedLimit(late, calm))
 	if c.UrgentDemand > 0 {
-		limit = lessUrgentLoad
+		limit = min(limit, lessUrgentLoad)
 		if !c.Starved {
-			limit -= min((baseMargin+marginGain*c.UrgentBlocked)*min(1, 2*c.UrgentDemand), maxMargin)
+			limit -= min(marginGain*c.UrgentBlocked*min(1, 2*c.UrgentDemand), maxMargin)
 		}
 	}
+	if c.Costly && late {
+		return max(limit, 0)
+	}
+	return max(limit, minLoadLimit)
+}
+
+// strainedLimit returns the limit in a group where no request finds room at first, without
+// the margin for more urgent ones. calm is the limit where all do.
+func (c Competition) strainedLimit(late bool, calm float64) float64 {
+	limit := calm
 	if c.OverShare && !c.Starved {
 		limit = max(min(limit, lessUrgentLoad)-overShareMargin, minOverShareLimit)
 	}
 	switch {
 	case c.Costly && late:
-		if c.Pressure < idlePressure {
-			return idleLoad
-		}
 		return 0
 	case c.Costly:
-		limit = min(limit, 1) - lateMargin*c.Pressure
+		return min(limit, 1) - lateMargin*c.Pressure
 	case late:
 		limit = min(limit, 1) - lateMargin*c.Pressure*c.InTimeDemand
 		if c.Starved {
 			limit = max(limit, starvedLateLimit)
 		}
 	}
-	return max(limit, minLoadLimit)
+	return limit
+}
+
+// strain returns how far the limits for a lack of room apply, between 0 and 1. A request
+// that is refused although most find room loses more than the others gain: its key stays
+// cold, and its caller retries.
+func (c Competition) strain() float64 {
+	return min(1, max(0, c.Pressure-calmPressure)/strainSpan)
 }
 
 // calmLoad returns the load per slot below which a request may go to a candidate although the
 // wait there makes it late: a free slot, and the old limit in a group where all find room.
 func (c Competition) calmLoad() float64 {
-	return 1 + (unknownLoadLimit-1)*(1-min(1, c.Pressure/calmPressure))
+	return 1 + (unknownLoadLimit-1)*(1-c.strain())
 }
 
 func (c Competition) timeMargin() float64 {
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -25,6 +25,10 @@
 	// workspace's excess over its rate is detected only after an interval.
 	exchangeBaseMembers = 10
 	maxExchangeInterval = 600 * time.Millisecond
+	// In its first startExchangeTime a gateway sends its state startExchangeFactor times as
+	// often. It spends little of rates until it and the others have heard each other.
+	startExchangeTime   = 3 * time.Second
+	startExchangeFactor = 4
 	// minSilentTimeout is how long a gateway may be silent before look-ups omit it. It
 	// is multiplied by the ratio of the current interval to minExchangeInterval, rounded
 	// down.
@@ -71,7 +75,11 @@
 	var tracker overloadTracker
 	var room roomTracker
 	for sequence := uint64(1); ; sequence++ {
-		timer := time.NewTimer(g.exchangeInterval())
+		interval := g.exchangeInterval()
+		if time.Since(g.started) < startExchangeTime {
+			interval /= startExchangeFactor
+		}
+		timer := time.NewTimer(interval)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -85,9 +85,9 @@
 	// RateSlack is the number of requests by which a workspace may exceed its rate
 	// in a window.
 	RateSlack int
-	// LoadAware means that requests of all groups are placed by expected time and admitted
-	// by urgency. Without it, only those are whose upstreams tell how slow they are, and
+	// LoadAware means that upstreams of all groups are chosen by expected time, and that
 	// requests of groups that routes of different priority share are admitted by urgency.
+	// Without it, both apply only to groups whose upstreams tell how slow they are.
 	LoadAware bool
 }
 
