--- a/internal/fggateway/admission.go
+++ b/internal/fggateway/admission.go
@@ -118,7 +118,7 @@
 func (g *Gateway) waitForRoom(ctx context.Context, q *request, w fgadmission.Wait, choose func(*request) (fgaffinity.Placement, error)) (p fgaffinity.Placement, err error) {
 	start, priority := time.Now(), q.attempt.Priority()
 	g.metrics.WaitBegan(priority)
-	waitErr := g.admission.Wait(ctx, q.attempt, w, int64(len(q.body)), func() fgadmission.Outcome {
+	waitErr := g.admission.Wait(ctx, q.attempt, w, q.reserved, func() fgadmission.Outcome {
 		if g.path.Status() == fgpath.Lost {
 			err = errPathLost
 			return fgadmission.Ended
