Send slow idempotent requests to a second upstream

The first whole response wins; the other send is reset.

A send is divided into what prepares it, the exchange, and what records its end, so that two exchanges of a request can run while one goroutine owns the request. The watch for overdue responses tells this goroutine, which abandons a send only if no other one is in flight.

With the limit 0, requests take the path as before.

--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -294,6 +294,17 @@
 	return true
 }
 
+// Restricted reports whether an upstream should get only requests that need it: it is cold
+// or leaving, names a limit, or is avoided after failures.
+func (b *Balancer) Restricted(u *Upstream) bool {
+	wall := time.Now()
+	now := int64(wall.Sub(b.epoch))
+	return u.isCold(wall, now) || u.Spec().Draining || u.limit.set.Load() || u.avoided(now)
+}
+
+// HasReported reports whether the upstream's load was ever reported.
+func (u *Upstream) HasReported() bool { return u.reported.Load() != 0 }
+
 // isCold reports whether the upstream is cold and tolerates few requests only.
 func (u *Upstream) isCold(wall time.Time, now int64) bool {
 	return wall.Before(u.Spec().ColdUntil) || now < u.coldUntil.Load()
--- a/internal/fgcommand/gateway.go
+++ b/internal/fgcommand/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
 
+	"github.com/filbertgap/filbertgap/internal/coordination/fghedge"
 	"github.com/filbertgap/filbertgap/internal/coordination/fglookup"
 	"github.com/filbertgap/filbertgap/internal/fggateway"
 	"github.com/filbertgap/filbertgap/internal/fglog"
@@ -40,6 +41,7 @@
 	var path string
 	var checkOnly bool
 	var headerBytes int
+	var maxExtra float64
 	cmd := &cobra.Command{
 		Use:   "gateway",
 		Short: "Run one gateway on the users' platform",
@@ -59,23 +61,27 @@
 			if headerBytes < minResponseHeaderBytes || headerBytes > maxResponseHeaderBytes {
 				return fmt.Errorf("%w: --max-response-header-bytes is %d; accepted is %d to %d", errUsage, headerBytes, minResponseHeaderBytes, maxResponseHeaderBytes)
 			}
+			if !(maxExtra >= 0 && maxExtra <= fghedge.MaxLimit) {
+				return fmt.Errorf("%w: --max-extra-requests is %g; accepted is 0 to %g, as a part of all requests", errUsage, maxExtra, fghedge.MaxLimit)
+			}
 			if checkOnly {
 				_, err := fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
 				return err
 			}
-			return runGateway(cmd, path, s, headerBytes, hangups)
+			return runGateway(cmd, path, s, headerBytes, maxExtra, hangups)
 		},
 	}
 	f := cmd.Flags()
 	f.StringVar(&path, "settings", os.Getenv(fgadapter.SettingsVariable), "path of the platform's settings file")
 	f.BoolVar(&checkOnly, "check", false, "check the settings and exit")
 	f.IntVar(&headerBytes, "max-response-header-bytes", fgpool.DefaultMaxHeadBytes, "size of the largest head of an upstream's response, in bytes; a connection with a larger one is closed")
+	f.Float64Var(&maxExtra, "max-extra-requests", 0, "second sends of slow requests that are idempotent, as a part of all requests of a group, 0 to 0.2; 0 means none")
 	return cmd
 }
 
 // runGateway runs a gateway until the command's context ends. The log writer and
 // the settings watch run until the gateway has stopped.
-func runGateway(cmd *cobra.Command, path string, s fgadapter.Settings, headerBytes int, hangups <-chan os.Signal) error {
+func runGateway(cmd *cobra.Command, path string, s fgadapter.Settings, headerBytes int, maxExtra float64, hangups <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
@@ -84,7 +90,7 @@
 	logger := newLogger(w)
 	codec := fgadapter.Codec{Regions: s.Regions}
 	settings := gatewaySettings(s)
-	settings.MaxResponseHeaderBytes = headerBytes
+	settings.MaxResponseHeaderBytes, settings.MaxExtraRequests = headerBytes, maxExtra
 	g := fggateway.New(fggateway.Options{
 		Settings: settings, Feed: fgadapter.NewStore(s.StoreAddress), Codec: codec, EncodeMember: codec.EncodeMember,
 		Dialect: fgadapter.Dialect{}, Logger: logger, DroppedLines: w.Dropped,
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -46,7 +46,9 @@
 	meta     fgmessage.Response
 	body     []byte
 	complete bool
-	upstream *fgaffinity.Upstream
+	// prefixRead means that body and complete are set.
+	prefixRead bool
+	upstream   *fgaffinity.Upstream
 	// result is the result to record for the upstream or the other gateway.
 	result fgaffinity.Result
 	// cancel releases the context of the exchange.
@@ -139,10 +141,17 @@
 	}
 	if len(q.chosen) == 0 {
 		g.retryBudget.CountRequest(q.group)
+		g.hedges.CountRequest(q.group)
 	}
 	q.chosen = append(q.chosen, u)
 	q.attempt.Sent()
-	return g.send(ctx, r, q, u)
+	if !g.hedges.Enabled() {
+		return g.send(ctx, r, q, u)
+	}
+	if delay, ok := g.hedges.Plan(g.hedgeRequest(r, q, 1), time.Now()); ok {
+		return g.sendHedged(ctx, r, q, u, delay)
+	}
+	return g.sendUnhedged(ctx, r, q, u)
 }
 
 // statusCallerLeft is logged as the status if the caller disconnected before the
@@ -181,54 +190,105 @@
 	final bool
 }
 
+// upstreamSend is one send of a request to an upstream. Its fields after cancel are set by
+// exchange.
+type upstreamSend struct {
+	upstream *fgaffinity.Upstream
+	// expected is what the balancer expects of the send. It is zero for an upstream that
+	// the watch for overdue responses has chosen.
+	expected fgaffinity.Estimate
+	request  fgpool.Request
+	start    time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	watch    *overdueWatch
+
+	meta     fgmessage.Response
+	response *upstreamResponse
+	err      error
+	// took is the time to the head of the response. inTime means that it was not overdue.
+	took   time.Duration
+	inTime bool
+	// next is the upstream for the retry if the send was abandoned. retry is the same for a
+	// send that a hedgedSend owns.
+	next, retry *fgaffinity.Upstream
+}
+
 // send sends a request to one upstream.
 func (g *Gateway) send(ctx context.Context, r *http.Request, q *request, u *fgaffinity.Upstream) sendOutcome {
-	spec := u.Spec()
-	f := fgmessage.Forward{RemainingTime: time.Until(q.deadline), UpstreamID: spec.ID}
+	s := g.prepareSend(ctx, r, q, u, q.header, nil)
+	s.exchange(g)
+	return g.endSend(r, q, s)
+}
+
+// prepareSend returns a send that exchange carries out. overdue may be nil.
+func (g *Gateway) prepareSend(ctx context.Context, r *http.Request, q *request, u *fgaffinity.Upstream, header http.Header, overdue chan<- overdueResponse) *upstreamSend {
+	f := fgmessage.Forward{RemainingTime: time.Until(q.deadline), UpstreamID: u.Spec().ID}
 	if q.workspace != nil {
 		f.Workspace = q.workspace.Name
 	}
-	g.dialect.WriteForward(q.header, f)
-	start := time.Now()
-	ctx, cancel := context.WithCancel(ctx)
-	w := g.watchOverdue(q, u, cancel)
-	var meta fgmessage.Response
-	response, err := g.pool.Send(ctx, upstreamTarget(spec), fgpool.Request{
-		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: q.header, Body: q.body, Abandoned: r.Context(),
+	g.dialect.WriteForward(header, f)
+	s := &upstreamSend{upstream: u, expected: q.expected, start: time.Now()}
+	s.ctx, s.cancel = context.WithCancel(ctx)
+	s.request = fgpool.Request{
+		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: header, Body: q.body, Abandoned: r.Context(),
 		Accept: func(res *http.Response, reused bool) bool {
 			g.path.RecordResponse()
-			meta = g.dialect.ReadResponse(res)
+			s.meta = g.dialect.ReadResponse(res)
 			// A refusal may name no request. On a reused connection it may be a late
 			// copy that belongs to an earlier one, while this request runs.
-			return meta.AttemptID == q.AttemptID || meta.AttemptID == "" && meta.NotRun && !reused
+			return s.meta.AttemptID == q.AttemptID || s.meta.AttemptID == "" && s.meta.NotRun && !reused
 		},
-	})
-	inTime, next := w.stop()
+	}
+	s.watch = g.watchOverdue(q, s, overdue)
+	return s
+}
+
+// exchange sends the request and reads the head of the response. It does not change the
+// request, so that two sends of one request may be under way.
+func (s *upstreamSend) exchange(g *Gateway) {
+	response, err := g.pool.Send(s.ctx, upstreamTarget(s.upstream.Spec()), s.request)
+	s.took = time.Since(s.start)
+	s.inTime, s.next = s.watch.stop()
 	if err != nil {
-		cancel()
-		result := g.recordSendFailure(r, q, u, next != nil, err)
-		return sendOutcome{result: result, refusal: q.failureRefusal(next != nil, err), next: next, final: result == fgaffinity.Left}
+		s.err = err
+		s.cancel()
+		return
+	}
+	s.response = &upstreamResponse{Response: response, meta: s.meta, upstream: s.upstream, cancel: s.cancel}
+}
+
+// endSend records the end of a send and returns its outcome.
+func (g *Gateway) endSend(r *http.Request, q *request, s *upstreamSend) sendOutcome {
+	if s.err != nil {
+		result := g.recordSendFailure(r, q, s.upstream, s.next != nil, s.err)
+		return sendOutcome{result: result, refusal: q.failureRefusal(s.next != nil, s.err), next: s.next, final: result == fgaffinity.Left}
 	}
-	if next != nil {
+	if s.next != nil {
 		// The response arrived while the send was being abandoned.
-		g.release(q, next)
+		g.release(q, s.next)
 	}
-	if inTime {
-		g.balancer.RecordInTime(u, time.Since(start))
+	g.recordHead(q, s)
+	refused := g.classify(q, s.response)
+	q.recordAdmission(s.response, s.start)
+	return sendOutcome{response: s.response, result: s.response.result, refusal: refused}
+}
+
+// recordHead records what the head of a response tells about its upstream.
+func (g *Gateway) recordHead(q *request, s *upstreamSend) {
+	u, meta, status := s.upstream, s.meta, s.response.StatusCode
+	if s.inTime {
+		g.balancer.RecordInTime(u, s.took)
 	}
 	q.sends++
-	g.recordLoad(u, response.StatusCode, meta)
-	if !meta.NotRun && response.StatusCode < http.StatusInternalServerError {
-		g.balancer.RecordRun(u, q.expected, time.Since(start), meta.Load.Slowdown)
+	g.recordLoad(u, status, meta)
+	if !meta.NotRun && status < http.StatusInternalServerError {
+		g.balancer.RecordRun(u, s.expected, s.took, meta.Load.Slowdown)
 	}
 	if meta.ColdDuration > 0 {
 		g.balancer.RecordCold(u, meta.ColdDuration)
 	}
 	g.recordLimit(q, u, meta)
-	wrapped := &upstreamResponse{Response: response, meta: meta, upstream: u, cancel: cancel}
-	refused := g.classify(q, wrapped)
-	q.recordAdmission(wrapped, start)
-	return sendOutcome{response: wrapped, result: wrapped.result, refusal: refused}
 }
 
 // upstreamTarget returns where an upstream's requests are sent.
@@ -290,7 +350,7 @@
 // classify reads the beginning of a response's body and sets the response's result.
 // If the response must not be passed on, classify closes it and returns a refusal.
 func (g *Gateway) classify(q *request, res *upstreamResponse) *refusal {
-	res.body, res.complete = readPrefix(res.Body)
+	res.readPrefix()
 	var refused *refusal
 	switch {
 	case res.meta.Misdirected:
@@ -319,6 +379,14 @@
 	}
 }
 
+// readPrefix sets body and complete, once.
+func (r *upstreamResponse) readPrefix() {
+	if !r.prefixRead {
+		r.body, r.complete = readPrefix(r.Body)
+		r.prefixRead = true
+	}
+}
+
 // readPrefix reads up to bufferedBytes of a body. A nil slice means that reading
 // failed, complete that the end was reached.
 func readPrefix(body io.Reader) (prefix []byte, complete bool) {
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgadmission"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
+	"github.com/filbertgap/filbertgap/internal/coordination/fghedge"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgmirror"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgpath"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgquota"
@@ -63,7 +64,10 @@
 	// MaxResponseHeaderBytes limits the head of an upstream's response. Zero means
 	// fgpool.DefaultMaxHeadBytes.
 	MaxResponseHeaderBytes int
-	Bounds                 Bounds
+	// MaxExtraRequests limits the second sends of slow requests, as a part of the requests
+	// of each group. Zero means none.
+	MaxExtraRequests float64
+	Bounds           Bounds
 }
 
 // Bounds are the limits that the platform sets for a gateway. They may change while
@@ -119,6 +123,7 @@
 	groups      fgaffinity.GroupSelector
 	retryBudget fgaffinity.RetryBudget
 	admission   fgadmission.Controller
+	hedges      fghedge.Controller
 	limiter     *fgquota.Limiter
 	crashes     fgsuspect.Crashes
 	bodies      bodyMemory
@@ -184,6 +189,7 @@
 	g.bodies.limit = o.Settings.MemoryBytes / bodyMemoryDivisor
 	g.admission.SetMaxBytes(g.bodies.limit / waitingMemoryDivisor)
 	g.pool.SetMaxHeadBytes(o.Settings.MaxResponseHeaderBytes)
+	g.hedges.SetLimit(o.Settings.MaxExtraRequests)
 	g.pool.SetHooks(fgpool.Hooks{Dial: o.DialUpstream, Connected: g.observeConnection})
 	g.SetBounds(o.Settings.Bounds)
 	g.contacts.gateway = g
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -38,7 +38,7 @@
 	reserved int64
 	// chosen lists the upstreams chosen for the sends of the request, in order.
 	chosen []*fgaffinity.Upstream
-	// expected is what the balancer expects of the current send. It is zero for an upstream
+	// expected is what the balancer expects of the send that begins next. It is zero for an upstream
 	// that the watch for overdue responses has chosen.
 	expected fgaffinity.Estimate
 	// mayHaveRun means that an upstream may have run the request.
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -20,6 +20,7 @@
 	detours  *prometheus.CounterVec
 	loads    *prometheus.CounterVec
 	placed   *prometheus.CounterVec
+	seconds  *prometheus.CounterVec
 	// The following are of groups about which admission decides.
 	refused *prometheus.CounterVec
 	waiting *prometheus.GaugeVec
@@ -66,6 +67,8 @@
 			Help: "Loads of upstreams told to and by gateways of the zone: out, or in and newer than what was known."}, []string{"direction"}),
 		placed: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_placements_total",
 			Help: "Upstreams chosen by group: the first candidate for the request, or another one."}, []string{"group", "candidate"}),
+		seconds: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_second_sends_total",
+			Help: "Second sends of slow requests by group and how they ended, or why there was none."}, []string{"group", "end"}),
 	}
 	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_admission_refused_total",
 		Help: "Requests refused for lack of room by priority and cause."}, []string{"priority", "cause"})
@@ -73,7 +76,7 @@
 		Help: "Requests that wait for room by priority."}, []string{"priority"})
 	m.waits = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "gateway_admission_wait_seconds",
 		Help: "Time that requests waited for room by priority and how the wait ended.", Buckets: latencyBuckets}, []string{"priority", "end"})
-	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.loads, m.placed, m.refused, m.waiting, m.waits, roomCollector{c.GroupRoom},
+	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.loads, m.placed, m.seconds, m.refused, m.waiting, m.waits, roomCollector{c.GroupRoom},
 		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return c.StoreAge().Seconds() }),
 		gauge("gateway_store_copy_age_seconds", "Time since the copy of the store was last known to hold all changes.", func() float64 { return c.StoreCopyAge().Seconds() }),
 		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(c.StoreRevision()) }),
@@ -131,6 +134,9 @@
 	m.placed.WithLabelValues(group, candidate).Inc()
 }
 
+// SecondSend records how a second send of a request ended, or why there was none.
+func (m *Gateway) SecondSend(group, end string) { m.seconds.WithLabelValues(group, end).Inc() }
+
 // LoadReports records loads of upstreams that were told to other gateways ("out") or
 // taken over from them ("in").
 func (m *Gateway) LoadReports(direction string, n int) {
