--- a/internal/coordination/fghedge/controller.go
+++ b/internal/coordination/fghedge/controller.go
@@ -16,6 +16,8 @@
 	// burst is how many second sends a group may save up. Slow upstreams make several
 	// requests slow together.
 	burst = 3
+	// wholeToken is the sum of parts that counts as one, since sums of fractions are rounded.
+	wholeToken = 1 - 1e-9
 )
 
 // Controller holds, for each group, how many second sends the limit still allows, and how
@@ -59,7 +61,7 @@
 func (c *Controller) Take(group string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.limit == 0 || c.tokens[group] < 1 {
+	if c.limit == 0 || c.tokens[group] < wholeToken {
 		return false
 	}
 	c.tokens[group]--
--- a/internal/fggateway/hedge.go
+++ b/internal/fggateway/hedge.go
@@ -113,6 +113,9 @@
 		}
 	case e != nil && e.refusal == nil:
 		h.release(o.next)
+		if e.response.upstream == h.second.upstream {
+			h.recordSecond(fghedge.Won)
+		}
 		return *e
 	case e != nil && (o.result == fgaffinity.Unreached || o.result == fgaffinity.Replaced):
 		// Further sends need the retry budget, if one of the upstreams was reached.
