--- a/internal/fgcommand/pages_test.go
+++ b/internal/fgcommand/pages_test.go
@@ -43,6 +43,7 @@
 		{"../fggateway/exchange.go", `logger\.Info\("(copy of the store fetched|gateway state changed)"`},
 		{"../fggateway/contacts.go", `logger\.Info\("([^"]+)"`},
 		{"../fggateway/forward.go", `logger\.Info\("([^"]+)"`},
+		{"../fggateway/hedge.go", `logger\.Info\("([^"]+)"`},
 		{"../fggateway/limit.go", `logger\.Info\("([^"]+)"`},
 		{"../fggateway/overdue.go", `logger\.Info\("([^"]+)"`},
 		{"../fggateway/regions.go", `logger\.Info\("([^"]+)"`},
