--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -212,6 +212,8 @@
 	// next is the upstream for the retry if the send was abandoned. retry is the same for a
 	// send that a hedgedSend owns.
 	next, retry *fgaffinity.Upstream
+	// second means that the send began beside another one. Admission knows nothing of it.
+	second bool
 }
 
 // send sends a request to one upstream.
@@ -270,7 +272,9 @@
 	}
 	g.recordHead(q, s)
 	refused := g.classify(q, s.response)
-	q.recordAdmission(s.response, s.start)
+	if !s.second {
+		q.recordAdmission(s.response, s.start)
+	}
 	return sendOutcome{response: s.response, result: s.response.result, refusal: refused}
 }
 
--- a/internal/fggateway/hedge.go
+++ b/internal/fggateway/hedge.go
@@ -155,6 +155,7 @@
 	q.chosen = append(q.chosen, u)
 	// The header of the first send may be being written.
 	h.second = h.start(ctx, u, q.header.Clone())
+	h.second.second = true
 }
 
 // chooseSecond reserves the upstream of the second send, and takes the send from both
@@ -294,7 +295,9 @@
 	g, q := h.gateway, h.q
 	h.remove(s)
 	if s == h.first {
+		// The time until now is a lower bound of the response time.
 		g.recordHedgeTime(h.plan, fgaffinity.Silent, s.start)
+		q.attempt.Responded(time.Since(s.start))
 	}
 	switch {
 	case s.err == nil:
