--- a/internal/coordination/fghedge/hedge_test.go
+++ b/internal/coordination/fghedge/hedge_test.go
@@ -127,4 +127,9 @@
 	if d, ok := c.Plan(r, now); ok {
 		t.Errorf("got a second send after %v, which is after the deadline", d)
 	}
+	r.Deadline = now.Add(time.Minute)
+	c.SetLimit(0)
+	if d, ok := c.Plan(r, now); ok || c.Enabled() {
+		t.Errorf("got a second send after %v with the limit 0", d)
+	}
 }
--- a/internal/fggateway/hedge_test.go
+++ b/internal/fggateway/hedge_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -30,6 +32,8 @@
 
 	mu     sync.Mutex
 	bodies []string
+	// targets are the upstreams to which the requests were sent.
+	targets []string
 	// secondArrived is closed when the second request arrives, and firstGone and secondGone
 	// when the gateway has closed their connections.
 	secondArrived, firstGone, secondGone chan struct{}
@@ -69,6 +73,7 @@
 	body, err := io.ReadAll(r.Body)
 	h.mu.Lock()
 	h.bodies = append(h.bodies, fmt.Sprint(string(body), err))
+	h.targets = append(h.targets, r.Header.Get("T-Upstream"))
 	n := len(h.bodies)
 	h.mu.Unlock()
 	w.Header().Set("T-Id", r.Header.Get("T-Id"))
@@ -222,7 +227,11 @@
 		t.Run(tt.name, func(t *testing.T) {
 			h := newHedgeEnv(t, 3, 0.2)
 			h.first, h.second = tt.first(h), tt.second(h)
+			start := time.Now()
 			res := h.gateway.mustCall(t, http.MethodGet, "/read/x")
+			if took := time.Since(start); took > 4*time.Second {
+				t.Errorf("the response took %v, as long as the deadline", took)
+			}
 			if res.status != tt.status || res.body != tt.body {
 				t.Errorf("got %d %q, want %d %q", res.status, res.body, tt.status, tt.body)
 			}
@@ -385,3 +394,35 @@
 		t.Errorf("%q sends were abandoned, want 1", got)
 	}
 }
+
+// Guards against a second send to the zone of the first one, which may be slow as a whole,
+// while another zone has room.
+func TestSecondSendGoesToAnotherZone(t *testing.T) {
+	h := newHedgeEnv(t, 4, 0.2)
+	zone := func(id string) string { return "zone-" + strconv.Itoa(int(id[1]-'0')/2) }
+	for _, u := range h.upstreams() {
+		spec := *u.Spec()
+		spec.AvailabilityZone = zone(spec.ID)
+		h.put("up/"+spec.ID, spec)
+	}
+	h.eventually("the zones are known", func() bool {
+		return !slices.ContainsFunc(h.upstreams(), func(u *fgaffinity.Upstream) bool { return u.Spec().AvailabilityZone != zone(u.Spec().ID) })
+	})
+	for i := range 5 {
+		h.mu.Lock()
+		h.bodies, h.targets = nil, nil
+		h.firstGone, h.secondArrived = make(chan struct{}), make(chan struct{})
+		h.first, h.second = block(h.firstGone), respond
+		h.mu.Unlock()
+		h.gateway.hedges.Refund("g")
+		if res := h.gateway.mustCall(t, http.MethodGet, "/read/x", "T-Id", fmt.Sprint("z", i)); res.status != 200 {
+			t.Fatalf("got %+v", res)
+		}
+		<-h.firstGone
+		h.mu.Lock()
+		if len(h.targets) != 2 || zone(h.targets[0]) == zone(h.targets[1]) {
+			t.Errorf("sent to %v, want two zones", h.targets)
+		}
+		h.mu.Unlock()
+	}
+}
