--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -141,6 +141,8 @@
 	links map[string]*upstreamLink
 	// dial opens the connections of gateways without a link to upstreams. Nil means TCP.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// maxExtra limits the second sends of all gateways.
+	maxExtra float64
 }
 
 func newTestEnv(t *testing.T) *testEnv {
@@ -198,7 +200,7 @@
 	options := Options{
 		Settings: Settings{
 			Self: fgsteer.MemberSpec{VM: vm, Region: "east"}, CallerListen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0",
-			LookupListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", MetricsListen: "127.0.0.1:0",
+			LookupListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", MetricsListen: "127.0.0.1:0", MaxExtraRequests: env.maxExtra,
 			Bounds: Bounds{
 				LookupLifetime: 5 * time.Second, Grace: time.Second,
 				RepeatRatio: 0.2, RepeatExtra: 64, RepeatWindow: 10 * time.Second, RateSlack: 20,
--- a/internal/fggateway/hedge_test.go
+++ b/internal/fggateway/hedge_test.go
@@ -60,8 +60,8 @@
 	h.dial = network.Host(self).DialContext
 	h.policy.Routes[0].MaxAttempts = 3
 	h.putPolicy()
+	h.maxExtra = limit
 	h.gateway = h.testEnv.gateway("vm-1", upstreams)
-	h.gateway.hedges.SetLimit(limit)
 	for range 50 {
 		h.gateway.hedges.CountRequest("g")
 		h.gateway.hedges.Record(fghedge.Request{Group: "g", Route: "read", Idempotent: true, MaxAttempts: 3}, 30*time.Millisecond, time.Now())
