--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -46,7 +46,9 @@
 	meta     fgmessage.Response
 	body     []byte
 	complete bool
-	upstream *fgaffinity.Upstream
+	// prefixRead means that body and complete are set.
+	prefixRead bool
+	upstream   *fgaffinity.Upstream
 	// result is the result to record for the upstream or the other gateway.
 	result fgaffinity.Result
 	// cancel releases the context of the exchange.
@@ -139,10 +141,17 @@
 	}
 	if len(q.chosen) == 0 {
 		g.retryBudget.CountRequest(q.group)
+		g.hedges.CountRequest(q.group)
 	}
 	q.chosen = append(q.chosen, u)
 	q.attempt.Sent()
-	return g.send(ctx, r, q, u)
+	if !g.hedges.Enabled() {
+		return g.send(ctx, r, q, u)
+	}
+	if delay, ok := g.hedges.Plan(g.hedgeRequest(r, q, 1), time.Now()); ok {
+		return g.sendHedged(ctx, r, q, u, delay)
+	}
+	return g.sendUnhedged(ctx, r, q, u)
 }
 
 // statusCallerLeft is logged as the status if the caller disconnected before the
@@ -181,62 +190,6 @@
 	final bool
 }
 
-// send sends a request to one upstream.
-func (g *Gateway) send(ctx context.Context, r *http.Request, q *request, u *fgaffinity.Upstream) sendOutcome {
-	spec := u.Spec()
-	f := fgmessage.Forward{RemainingTime: time.Until(q.deadline), UpstreamID: spec.ID}
-	if q.workspace != nil {
-		f.Workspace = q.workspace.Name
-	}
-	g.dialect.WriteForward(q.header, f)
-	start := time.Now()
-	ctx, cancel := context.WithCancel(ctx)
-	w := g.watchOverdue(q, u, cancel)
-	var meta fgmessage.Response
-	response, err := g.pool.Send(ctx, upstreamTarget(spec), fgpool.Request{
-		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: q.header, Body: q.body, Abandoned: r.Context(),
-		Accept: func(res *http.Response, reused bool) bool {
-			g.path.RecordResponse()
-			meta = g.dialect.ReadResponse(res)
-			// A refusal may name no request. On a reused connection it may be a late
-			// copy that belongs to an earlier one, while this request runs.
-			return meta.AttemptID == q.AttemptID || meta.AttemptID == "" && meta.NotRun && !reused
-		},
-	})
-	inTime, next := w.stop()
-	if err != nil {
-		cancel()
-		result := g.recordSendFailure(r, q, u, start, next != nil, err)
-		return sendOutcome{result: result, refusal: q.failureRefusal(next != nil, err), next: next, final: result == fgaffinity.Left}
-	}
-	if next != nil {
-		// The response arrived while the send was being abandoned.
-		g.release(q, next)
-	}
-	if inTime {
-		g.balancer.RecordInTime(u, time.Since(start))
-	}
-	q.sends++
-	g.recordLoad(u, response.StatusCode, meta)
-	if !meta.NotRun && response.StatusCode < http.StatusInternalServerError {
-		g.balancer.RecordRun(u, q.expected, time.Since(start), meta.Load.Slowdown)
-	}
-	if meta.ColdDuration > 0 {
-		g.balancer.RecordCold(u, meta.ColdDuration)
-	} else if meta.Signed {
-		g.balancer.RecordWarm(u)
-	}
-	g.recordLimit(q, u, meta)
-	wrapped := &upstreamResponse{Response: response, meta: meta, upstream: u, cancel: cancel}
-	refused := g.classify(q, wrapped)
-	g.recordAdmission(q, wrapped, start)
-	if wrapped.result == fgaffinity.Lost && r.Context().Err() == nil && time.Until(q.deadline) > 0 {
-		// The upstream may have crashed within its response, unless the read was ended here.
-		g.checkForCrash(r, q, u, start)
-	}
-	return sendOutcome{response: wrapped, result: wrapped.result, refusal: refused}
-}
-
 // upstreamTarget returns where an upstream's requests are sent.
 func upstreamTarget(s *fgsteer.UpstreamSpec) fgpool.Target {
 	return fgpool.Target{ID: s.ID, Address: s.Address}
@@ -297,7 +250,7 @@
 // classify reads the beginning of a response's body and sets the response's result.
 // If the response must not be passed on, classify closes it and returns a refusal.
 func (g *Gateway) classify(q *request, res *upstreamResponse) *refusal {
-	res.body, res.complete = readPrefix(res.Body)
+	res.readPrefix()
 	var refused *refusal
 	switch {
 	case res.meta.Misdirected:
@@ -326,6 +279,14 @@
 	}
 }
 
+// readPrefix sets body and complete, once.
+func (r *upstreamResponse) readPrefix() {
+	if !r.prefixRead {
+		r.body, r.complete = readPrefix(r.Body)
+		r.prefixRead = true
+	}
+}
+
 // readPrefix reads up to bufferedBytes of a body. A nil slice means that reading
 // failed, complete that the end was reached.
 func readPrefix(body io.Reader) (prefix []byte, complete bool) {
