--- a/internal/transport/fgpool/pool_test.go
+++ b/internal/transport/fgpool/pool_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -55,7 +57,7 @@
 // request returns a request that accepts only responses with its own Id header.
 func request(id string) Request {
 	return Request{
-		Method: http.MethodPost, URI: "/a/b?c=%20d", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("order"),
+		Method: http.MethodPost, URI: "/a/b?c=%20d", Host: "h.example", Header: http.Header{"Id": {id}}, Body: [][]byte{[]byte("order")},
 		Accept: func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == id },
 	}
 }
@@ -285,7 +287,7 @@
 		_, _ = io.Copy(io.Discard, r)
 	})
 	req := request("1")
-	req.Body = make([]byte, 32<<20)
+	req.Body = [][]byte{make([]byte, 32<<20)}
 	p := &Pool{}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
@@ -341,3 +343,35 @@
 		t.Error("idle connections to an upstream that does not respond were kept")
 	}
 }
+
+// Guards against a connection that is returned to the pool while it closes, and is never
+// closed.
+func TestCloseLeavesNoIdleConnection(t *testing.T) {
+	for range 100 {
+		p := &Pool{}
+		closed := make(chan struct{})
+		var returns sync.WaitGroup
+		for range 4 {
+			returns.Go(func() {
+				near, _ := net.Pipe()
+				for {
+					select {
+					case <-closed:
+						return
+					default:
+						p.put(Target{ID: "u"}.key(), newConn(near))
+					}
+				}
+			})
+		}
+		for !p.HasIdle(Target{ID: "u"}) {
+			runtime.Gosched()
+		}
+		p.close()
+		close(closed)
+		returns.Wait()
+		if n := len(p.idle[Target{ID: "u"}.key()]); n > 0 {
+			t.Fatalf("%d connections are left", n)
+		}
+	}
+}
