Send nothing to upstreams that say that they leave

Cause: an upstream that stops says so in its responses, but its gateways went on sending to it until its entry in the store changed, and the requests were lost.

Change: a response with Leaving, also a refusal, takes the upstream out of the candidates. Requests that were chosen for it before are withdrawn, as those to drained upstreams are. Other gateways are told in field 21 of the state. The signal belongs to one start of the upstream, also if its start becomes known late. If all upstreams of a request leave, it is refused at once with a retry time of 1 to 1.25 s. Available looks at all of the group's upstreams, since those that the request was already sent to count too.

Measured: TestUpstreamLeaves: one request at the upstream from two gateways, the other one hears of it within 2 s. TestLeavingWithdrawsHeldRequests: the held request ends within 2 s; without the withdrawal after 4.9 s, and a request that was chosen before reaches the upstream.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -122,6 +122,8 @@
 	loadAware atomic.Bool
 	// rtt is the round-trip time to another region in nanoseconds.
 	rtt atomic.Int64
+	// signals holds the upstreams that leave.
+	signals signalTable
 
 	mu        sync.Mutex
 	upstreams map[string]*Upstream
@@ -204,6 +206,7 @@
 		g.cache = newRankCache(g.classes, len(g.upstreams))
 		s.groups[name] = g
 	}
+	b.signals.update(known)
 	b.upstreams = known
 	b.state.Store(s)
 }
@@ -265,6 +268,9 @@
 	key, timed := keyHash(c.AffinityKey), b.isTimed(g, now)
 	best := b.rank(s, g, c, key, timed, wall)
 	if best.count == 0 && !best.limited {
+		if err := b.Available(c); err != nil {
+			return Placement{}, err
+		}
 		return Placement{}, ErrNoUpstream
 	}
 	var expected [maxTimedCandidates]Estimate
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -101,6 +101,7 @@
 	// available.
 	avoidUntil atomic.Int64
 	limit      namedLimit
+	signals    signals
 	coldUntil  atomic.Int64
 	// instance is the hash of the instanceID.
 	instance uint64
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -110,6 +110,7 @@
 	}
 	state.Crashes = g.crashReports()
 	state.Limits = g.limitReports()
+	state.LeavingUpstreams = g.balancer.LeavingReports()
 	p := g.updatePlan()
 	g.sendOwnState(s, state, p)
 	g.queueForRelay(state)
@@ -125,6 +126,7 @@
 	g.limiter.ApplyReport(s.GetVm(), s.GetIncarnation(), s.GetSequence(), uses)
 	g.applyCrashReports(s.GetCrashes())
 	g.applyLimitReports(s.GetVm(), s.GetLimits())
+	g.applyLeavingReports(s)
 	g.applyLoadReports(s.GetLoads())
 	g.applyWaitingReports(s)
 	// A state that is passed on to other zones has neither.
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -125,6 +125,7 @@
 		g.finishRequest(q, statusCallerLeft, codeCallerLeft, "the caller disconnected", "")
 		abortResponse(r)
 	}
+	g.delayRetry(q, refused)
 	g.refuse(w, q, refused)
 }
 
@@ -225,6 +226,7 @@
 		g.balancer.RecordCold(u, meta.ColdDuration)
 	}
 	g.recordLimit(q, u, meta)
+	g.recordSignals(q, u, meta)
 	wrapped := &upstreamResponse{Response: response, meta: meta, upstream: u, cancel: cancel}
 	refused := g.classify(q, wrapped)
 	g.recordAdmission(q, wrapped, start)
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -116,6 +116,7 @@
 	logger      logr.Logger
 	mirror      *fgmirror.Mirror
 	balancer    *fgaffinity.Balancer
+	drained     drained
 	groups      fgaffinity.GroupSelector
 	retryBudget fgaffinity.RetryBudget
 	admission   fgadmission.Controller
@@ -203,6 +204,7 @@
 		ConnectionsNotReset: func() int64 { return g.pool.NotReset() + g.peerPool.NotReset() }, DroppedLines: dropped,
 		CallerConnections: func() int64 { return g.sockets.callers.Accepted() },
 		LimitedUpstreams:  g.balancer.LimitedUpstreams,
+		LeavingUpstreams:  g.balancer.LeavingUpstreams,
 		GroupRoom:         g.groupRoom,
 		PathStatus:        func() int { return int(g.path.Status()) },
 		PolicyVersion: func() int64 {
--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -51,7 +51,7 @@
 	var load fgmessage.Load
 	_, loadErr := fmt.Sscan(r.Header.Get("T-Load"), &load.Running, &load.Waiting, &load.Slots, &load.Slowdown)
 	return fgmessage.Response{
-		Load: load, HasLoad: loadErr == nil,
+		Leaving: r.Header.Get("T-Leaving") != "", Load: load, HasLoad: loadErr == nil,
 		AttemptID: r.Header.Get("T-Id"), Signed: r.Header.Get("T-Signed") != "", NotRun: r.Header.Get("T-Not-Run") != "",
 		Misdirected: r.StatusCode == http.StatusMisdirectedRequest, Limit: limit, HasLimit: err == nil,
 	}
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -37,6 +37,7 @@
 	Members           func() int
 	Upstreams         func() int
 	LimitedUpstreams  func() int
+	LeavingUpstreams  func() int
 	PathStatus        func() int
 	ConnectionsOpened func() int64
 	ConnectionsReused func() int64
@@ -82,6 +83,7 @@
 		gauge("gateway_members", "Registered gateways.", func() float64 { return float64(c.Members()) }),
 		gauge("gateway_upstreams", "Upstreams that may get requests.", func() float64 { return float64(c.Upstreams()) }),
 		gauge("gateway_upstreams_limited", "Upstreams that name a limit in their responses.", func() float64 { return float64(c.LimitedUpstreams()) }),
+		gauge("gateway_upstreams_leaving", "Upstreams that have said that they leave.", func() float64 { return float64(c.LeavingUpstreams()) }),
 		gauge("gateway_upstream_path", "Path to the upstreams: 0 open, 1 no new connections, 2 lost.", func() float64 { return float64(c.PathStatus()) }),
 		counter("gateway_connections_opened_total", "Connections opened to upstreams.", c.ConnectionsOpened),
 		counter("gateway_connections_reused_total", "Requests sent over a kept connection.", c.ConnectionsReused),
