Send nothing to upstreams that pause until the end of the pause

Cause: an upstream that refuses a request with Retry-After got further requests from the same gateway at once, and callers were told to retry after 0.1 to 0.2 s.

Change: a 503 that says that the request has not run, with Retry-After, takes the upstream out of the candidates until then, and withdraws requests that were chosen for it before and have not reached it. If all upstreams of a request pause or leave, it is refused at once, with the first end of a pause as the retry time, and up to a quarter more at random. This also holds where the last send of the request was refused itself.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -122,7 +122,7 @@
 	loadAware atomic.Bool
 	// rtt is the round-trip time to another region in nanoseconds.
 	rtt atomic.Int64
-	// signals holds the upstreams that leave.
+	// signals holds the upstreams that leave or pause.
 	signals signalTable
 
 	mu        sync.Mutex
--- a/internal/coordination/fgaffinity/rank.go
+++ b/internal/coordination/fgaffinity/rank.go
@@ -116,7 +116,7 @@
 // usable reports whether the request may be sent to an upstream.
 func (r *ranking) usable(u *Upstream) bool {
 	spec := u.Spec()
-	if spec.Draining || r.state.view.Drained(spec.AvailabilityZone) || u.signals.forbid() || r.skipAvoided && (u.avoided(r.now) || r.timed && u.declines(r.criteria, r.key, r.now)) ||
+	if spec.Draining || r.state.view.Drained(spec.AvailabilityZone) || u.signals.forbid(r.now) || r.skipAvoided && (u.avoided(r.now) || r.timed && u.declines(r.criteria, r.key, r.now)) ||
 		len(r.criteria.Regions) > 0 && !slices.Contains(r.criteria.Regions, spec.Region) || slices.Contains(r.criteria.Exclude, u) {
 		return false
 	}
--- a/internal/coordination/fgaffinity/signals.go
+++ b/internal/coordination/fgaffinity/signals.go
@@ -21,16 +21,16 @@
 	leavingRetryAfter = time.Second
 )
 
-// UnavailableError means that all upstreams for a request are leaving. It wraps
+// UnavailableError means that all upstreams for a request are leaving or pausing. It wraps
 // ErrNoUpstream.
 type UnavailableError struct {
-	// RetryAfter is when one may be back.
+	// RetryAfter is the time to the first end of a pause.
 	RetryAfter time.Duration
 }
 
 // Error implements error.
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("the upstreams are leaving; retry after %v", e.RetryAfter.Round(time.Millisecond))
+	return fmt.Sprintf("the upstreams are leaving or pausing for %v", e.RetryAfter.Round(time.Millisecond))
 }
 
 // Unwrap returns ErrNoUpstream.
@@ -41,10 +41,12 @@
 type signals struct {
 	// leaving means that it stops. heard means that it told this VM, which tells others.
 	leaving, heard atomic.Bool
+	// pausedUntil is the end of its pause, in nanoseconds after the balancer's epoch.
+	pausedUntil atomic.Int64
 }
 
 // forbid reports whether no request may be sent.
-func (s *signals) forbid() bool { return s.leaving.Load() }
+func (s *signals) forbid(now int64) bool { return s.leaving.Load() || now < s.pausedUntil.Load() }
 
 // merge adds the signals of another instance of the same process.
 func (s *signals) merge(other *signals) {
@@ -54,6 +56,7 @@
 	if other.heard.Load() {
 		s.heard.Store(true)
 	}
+	s.pausedUntil.Store(max(s.pausedUntil.Load(), other.pausedUntil.Load()))
 }
 
 // target is where an upstream's requests are sent.
@@ -160,6 +163,23 @@
 	return true
 }
 
+// RecordPause records that an upstream refused a request and wants no others for a
+// duration. It reports whether the upstream was not pausing before.
+func (b *Balancer) RecordPause(u *Upstream, d time.Duration) (changed bool) {
+	now := int64(time.Since(b.epoch))
+	end := now + int64(d)
+	for {
+		old := u.signals.pausedUntil.Load()
+		if end <= old {
+			return false
+		}
+		if u.signals.pausedUntil.CompareAndSwap(old, end) {
+			b.addSignal(u)
+			return old <= now
+		}
+	}
+}
+
 // LeavingReports returns upstreams that have told this VM that they leave, by the lower half
 // of the hash of their instance. They are repeated while the upstreams are registered, since
 // reports may be lost and other VMs may have just started. If there are too many for one
@@ -189,47 +209,56 @@
 	return changed
 }
 
-// Forbids reports whether an upstream has said that it leaves, so that requests
+// Forbids reports whether an upstream has said that it leaves or pauses, so that requests
 // that were chosen for it before must not be sent.
 func (b *Balancer) Forbids(id, address string) bool {
 	b.signals.mu.RLock()
 	defer b.signals.mu.RUnlock()
 	e := b.signals.entries[target{id, address}]
-	return e != nil && e.upstream.signals.forbid()
+	return e != nil && e.upstream.signals.forbid(int64(time.Since(b.epoch)))
 }
 
-// LeavingUpstreams returns the number of upstreams that are leaving.
-func (b *Balancer) LeavingUpstreams() int {
-	n := 0
+// SignalCounts returns the numbers of upstreams that are leaving and pausing.
+func (b *Balancer) SignalCounts() (leaving, paused int) {
+	now := int64(time.Since(b.epoch))
 	for _, u := range b.state.Load().instances {
 		if u.signals.leaving.Load() {
-			n++
+			leaving++
+		} else if u.signals.forbid(now) {
+			paused++
 		}
 	}
-	return n
+	return leaving, paused
 }
 
-// Available returns an UnavailableError if all upstreams where a request may run are
-// leaving, those that it was already sent to included, and ErrNoUpstream if there is none.
+// Available returns an UnavailableError if all upstreams where a request may run are leaving
+// or pausing, those that it was already sent to included, and ErrNoUpstream if there is none.
 func (b *Balancer) Available(c Criteria) error {
 	s := b.state.Load()
 	g := s.groups[c.Group]
 	if g == nil {
 		return ErrNoUpstream
 	}
-	count := 0
+	now := int64(time.Since(b.epoch))
+	count, first := 0, int64(0)
 	for _, u := range g.upstreams {
 		spec := u.Spec()
 		if spec.Draining || s.view.Drained(spec.AvailabilityZone) || len(c.Regions) > 0 && !slices.Contains(c.Regions, spec.Region) {
 			continue
 		}
-		if !u.signals.forbid() {
+		if !u.signals.forbid(now) {
 			return nil
 		}
 		count++
+		if end := u.signals.pausedUntil.Load(); !u.signals.leaving.Load() && (first == 0 || end < first) {
+			first = end
+		}
 	}
-	if count == 0 {
+	switch {
+	case count == 0:
 		return ErrNoUpstream
+	case first == 0:
+		return &UnavailableError{RetryAfter: leavingRetryAfter}
 	}
-	return &UnavailableError{RetryAfter: leavingRetryAfter}
+	return &UnavailableError{RetryAfter: time.Duration(max(0, first-now))}
 }
--- a/internal/coordination/fgaffinity/signals_test.go
+++ b/internal/coordination/fgaffinity/signals_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
@@ -51,3 +52,45 @@
 		})
 	}
 }
+
+// Guards against requests to an upstream that pauses, and against a wrong time after which
+// callers may retry when all do.
+func TestPause(t *testing.T) {
+	for _, key := range []string{"", "k"} {
+		synctest.Test(t, func(t *testing.T) {
+			b := balancer("vm-0", view(upstreams(2)))
+			c := Criteria{Group: "g", AffinityKey: key, MaxLoadPerSlot: testMaxLoad}
+			u := choose(t, b, c)
+			if !b.RecordPause(u, 2*time.Second) || b.RecordPause(u, time.Second) {
+				t.Error("the pause is not new, or a shorter one is")
+			}
+			if spec := u.Spec(); !b.Forbids(spec.ID, spec.Address) {
+				t.Error("requests that were chosen before the pause may be sent")
+			}
+			for range 4 {
+				other := choose(t, b, c)
+				if other == u {
+					t.Fatal("a pausing upstream was chosen")
+				}
+				b.Done(other, Answered)
+			}
+			other := choose(t, b, c)
+			b.RecordPause(other, 5*time.Second)
+			time.Sleep(500 * time.Millisecond)
+			c.Exclude = []*Upstream{u}
+			_, err := b.Choose(c)
+			var unavailable *UnavailableError
+			if !errors.As(err, &unavailable) || !errors.Is(err, ErrNoUpstream) || unavailable.RetryAfter != 1500*time.Millisecond {
+				t.Errorf("error %v, want the end in 1.5 s", err)
+			}
+			c.Exclude = nil
+			time.Sleep(1500 * time.Millisecond)
+			if spec := u.Spec(); b.Forbids(spec.ID, spec.Address) {
+				t.Error("requests may not be sent after the pause")
+			}
+			if got := choose(t, b, c); got != u {
+				t.Error("the upstream is not used after its pause")
+			}
+		})
+	}
+}
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -204,7 +204,7 @@
 		ConnectionsNotReset: func() int64 { return g.pool.NotReset() + g.peerPool.NotReset() }, DroppedLines: dropped,
 		CallerConnections: func() int64 { return g.sockets.callers.Accepted() },
 		LimitedUpstreams:  g.balancer.LimitedUpstreams,
-		LeavingUpstreams:  g.balancer.LeavingUpstreams,
+		SignalCounts:      g.balancer.SignalCounts,
 		GroupRoom:         g.groupRoom,
 		PathStatus:        func() int { return int(g.path.Status()) },
 		PolicyVersion: func() int64 {
--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -50,8 +50,9 @@
 	limit, err := strconv.ParseFloat(r.Header.Get("T-Limit"), 64)
 	var load fgmessage.Load
 	_, loadErr := fmt.Sscan(r.Header.Get("T-Load"), &load.Running, &load.Waiting, &load.Slots, &load.Slowdown)
+	pause, _ := time.ParseDuration(r.Header.Get("T-Pause"))
 	return fgmessage.Response{
-		Leaving: r.Header.Get("T-Leaving") != "", Load: load, HasLoad: loadErr == nil,
+		Leaving: r.Header.Get("T-Leaving") != "", Pause: pause, Load: load, HasLoad: loadErr == nil,
 		AttemptID: r.Header.Get("T-Id"), Signed: r.Header.Get("T-Signed") != "", NotRun: r.Header.Get("T-Not-Run") != "",
 		Misdirected: r.StatusCode == http.StatusMisdirectedRequest, Limit: limit, HasLimit: err == nil,
 	}
--- a/internal/fggateway/signals_test.go
+++ b/internal/fggateway/signals_test.go
@@ -1,6 +1,7 @@
 package fggateway
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -48,7 +49,7 @@
 			}
 		}
 		told := time.Now()
-		env.eventually("the other gateway hears of it", func() bool { return b.balancer.LeavingUpstreams() == 1 })
+		env.eventually("the other gateway hears of it", func() bool { leaving, _ := b.balancer.SignalCounts(); return leaving == 1 })
 		if took := time.Since(told); took > 2*time.Second {
 			t.Errorf("the other gateway heard of it after %v", took)
 		}
@@ -162,3 +163,59 @@
 		}
 	}
 }
+
+// Guards against requests to an upstream that pauses, and against a retry time before the
+// first end of a pause.
+func TestUpstreamPauses(t *testing.T) {
+	env := newTestEnv(t)
+	var requests [2]atomic.Int64
+	var pauses [2]atomic.Bool
+	for i, id := range []string{"u1", "u2"} {
+		env.upstream(id, func(rw http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			requests[i].Add(1)
+			if !pauses[i].Load() {
+				respond(rw, r)
+				return
+			}
+			rw.Header().Set("T-Pause", []string{"2s", "30s"}[i])
+			shed(rw, r)
+		})
+	}
+	g := env.gateway("vm-1", 2)
+	pauses[0].Store(true)
+	env.eventually("the first upstream pauses", func() bool {
+		if got := g.mustCall(t, http.MethodGet, "/read/x"); got.status != http.StatusOK {
+			t.Fatalf("got %+v while another upstream has capacity", got)
+		}
+		return requests[0].Load() == 1
+	})
+	start := time.Now()
+	for time.Since(start) < 500*time.Millisecond {
+		if got := g.mustCall(t, http.MethodGet, "/read/x"); got.status != http.StatusOK {
+			t.Fatalf("got %+v while another upstream has capacity", got)
+		}
+	}
+	pauses[1].Store(true)
+	// The first refusal comes after a send, the second one before.
+	for range 2 {
+		res, left := g.mustCall(t, http.MethodGet, "/read/x"), 2*time.Second-time.Since(start)
+		after, err := strconv.ParseFloat(res.retryAfter, 64)
+		if got := time.Duration(after * float64(time.Second)); res.status != http.StatusServiceUnavailable || err != nil || got < left-100*time.Millisecond || got > 5*left/4+200*time.Millisecond {
+			t.Errorf("got %+v %v before the end of a pause", res, left)
+		}
+	}
+	if got := requests[0].Load() + requests[1].Load(); requests[0].Load() != 1 {
+		t.Errorf("the first upstream got %d of %d requests", requests[0].Load(), got)
+	}
+	pauses[0].Store(false)
+	env.eventually("the upstream is used after its pause", func() bool {
+		return g.mustCall(t, http.MethodGet, "/read/x").status == http.StatusOK
+	})
+	if took := time.Since(start); took < 1900*time.Millisecond || took > 3*time.Second {
+		t.Errorf("the upstream was used %v after the start of its pause", took)
+	}
+	if len(env.logs.find(`"msg":"upstream paused"`, `"upstream":"u1"`)) != 1 {
+		t.Error("not one line of the pause")
+	}
+}
--- a/internal/fggateway/withdraw.go
+++ b/internal/fggateway/withdraw.go
@@ -32,7 +32,7 @@
 }
 
 // withdraw withdraws the requests that have not reached upstreams that get none: drained
-// ones, and those that have said that they leave.
+// ones, and those that have said that they leave or pause.
 func (g *Gateway) withdraw() {
 	d := &g.drained
 	d.mu.Lock()
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -29,15 +29,16 @@
 // GatewayCallbacks holds functions that return the current values of metrics. They
 // are called at each scrape.
 type GatewayCallbacks struct {
-	StoreAge          func() time.Duration
-	StoreCopyAge      func() time.Duration
-	StoreRevision     func() uint64
-	StoreEra          func() uint64
-	PolicyVersion     func() int64
-	Members           func() int
-	Upstreams         func() int
-	LimitedUpstreams  func() int
-	LeavingUpstreams  func() int
+	StoreAge         func() time.Duration
+	StoreCopyAge     func() time.Duration
+	StoreRevision    func() uint64
+	StoreEra         func() uint64
+	PolicyVersion    func() int64
+	Members          func() int
+	Upstreams        func() int
+	LimitedUpstreams func() int
+	// SignalCounts returns the numbers of upstreams that leave and that pause.
+	SignalCounts      func() (leaving, paused int)
 	PathStatus        func() int
 	ConnectionsOpened func() int64
 	ConnectionsReused func() int64
@@ -83,7 +84,8 @@
 		gauge("gateway_members", "Registered gateways.", func() float64 { return float64(c.Members()) }),
 		gauge("gateway_upstreams", "Upstreams that may get requests.", func() float64 { return float64(c.Upstreams()) }),
 		gauge("gateway_upstreams_limited", "Upstreams that name a limit in their responses.", func() float64 { return float64(c.LimitedUpstreams()) }),
-		gauge("gateway_upstreams_leaving", "Upstreams that have said that they leave.", func() float64 { return float64(c.LeavingUpstreams()) }),
+		gauge("gateway_upstreams_leaving", "Upstreams that have said that they leave.", func() float64 { leaving, _ := c.SignalCounts(); return float64(leaving) }),
+		gauge("gateway_upstreams_paused", "Upstreams that have refused a request and want none for a while.", func() float64 { _, paused := c.SignalCounts(); return float64(paused) }),
 		gauge("gateway_upstream_path", "Path to the upstreams: 0 open, 1 no new connections, 2 lost.", func() float64 { return float64(c.PathStatus()) }),
 		counter("gateway_connections_opened_total", "Connections opened to upstreams.", c.ConnectionsOpened),
 		counter("gateway_connections_reused_total", "Requests sent over a kept connection.", c.ConnectionsReused),
