Notice callers that leave with requests sent ahead

Cause: net/http notices the end of a connection only after it has read all that came before. With more than 4 KiB of requests sent ahead, the running request was not cancelled when its caller left, and the next one was passed on to an upstream more than 0.5 s later.

Change: the state of the TCP connection is looked at when a request begins and every 200 ms while it runs. A caller that closes only its sending side counts as gone, as with net/http.

--- a/internal/fggateway/callers.go
+++ b/internal/fggateway/callers.go
@@ -89,7 +89,7 @@
 	s := c.servers[l]
 	if s == nil {
 		s = &limitedServer{listener: fglistener.New(c.listener.Addr()), ended: make(chan error, 1)}
-		s.http = newServer(s.open.Handler(c.handler))
+		s.http = newServer(s.open.Handler(fglistener.CancelWhenLeft(c.handler)))
 		s.http.ConnContext, s.http.ConnState = fglistener.ConnContext, s.open.Observe
 		if l.HeaderTimeout > 0 {
 			s.http.ReadHeaderTimeout = l.HeaderTimeout
--- a/internal/fggateway/pipelining_test.go
+++ b/internal/fggateway/pipelining_test.go
@@ -138,3 +138,34 @@
 	}
 	close(l.release)
 }
+
+// Guards against pipelined requests that are passed on after their caller has left, and
+// against a running one that is not cancelled. There are more of them than net/http reads
+// ahead, so that it does not notice the end of the connection.
+func TestPipelinedCallerLeaves(t *testing.T) {
+	env, l := newTestEnv(t), &pipelineLog{release: make(chan struct{})}
+	env.upstream("u1", l.serve)
+	g := env.gateway("vm-1", 1)
+	c, err := net.Dial("tcp", g.settings.Self.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	requests := pipelined("block", "")
+	for i := range 200 {
+		requests += pipelined(fmt.Sprint("slow-", i), "")
+	}
+	if _, err := io.WriteString(c, requests); err != nil {
+		t.Fatal(err)
+	}
+	env.eventually("the first request runs", func() bool { return len(l.received()) == 1 })
+	_ = c.Close()
+	time.Sleep(600 * time.Millisecond)
+	if len(env.logs.find("request ended", `"block"`, string(codeCallerLeft))) != 1 {
+		t.Error("the running request did not end when its caller left")
+	}
+	close(l.release)
+	time.Sleep(time.Second)
+	if got := l.received(); len(got) != 1 {
+		t.Errorf("the upstream got %q after the caller had left", got[1:])
+	}
+}
