--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -101,6 +101,7 @@
 	// available.
 	avoidUntil atomic.Int64
 	limit      namedLimit
+	signals    signals
 	coldUntil  atomic.Int64
 	// warmSince is when the upstream last responded and was not cold.
 	warmSince atomic.Int64
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -127,6 +127,7 @@
 		g.finishRequest(q, statusCallerLeft, codeCallerLeft, "the caller disconnected", "")
 		abortResponse(r)
 	}
+	g.delayRetry(q, refused)
 	g.refuse(w, q, refused)
 }
 
--- a/internal/fggateway/send.go
+++ b/internal/fggateway/send.go
@@ -119,4 +119,5 @@
 		g.balancer.RecordWarm(u)
 	}
 	g.recordLimit(q, u, meta)
+	g.recordSignals(q, u, meta)
 }
