--- a/internal/coordination/fgadmission/controller.go
+++ b/internal/coordination/fgadmission/controller.go
@@ -19,8 +19,8 @@
 	mu sync.Mutex
 	// shared holds the groups that routes of different priority share.
 	shared map[string]bool
-	// loadAware means that the Controller decides about shared groups.
-	loadAware bool
+	// sharedGroups means that the Controller decides about shared groups.
+	sharedGroups bool
 	// upstreams holds the number of upstreams of each group.
 	upstreams map[string]int
 	groups    map[string]*group
@@ -59,12 +59,12 @@
 	c.Wake()
 }
 
-// SetLoadAware sets whether the Controller decides about groups that routes of different
+// SetSharedGroups sets whether the Controller decides about groups that routes of different
 // priority share.
-func (c *Controller) SetLoadAware(on bool) {
+func (c *Controller) SetSharedGroups(on bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.loadAware = on
+	c.sharedGroups = on
 }
 
 // RecordLoad records the load per slot and the slowdown that an upstream of a group told.
@@ -93,8 +93,8 @@
 }
 
 // Enabled reports whether the Controller decides about the requests of a group: its
-// upstreams tell their slowdown, or routes of different priority share it and SetLoadAware
-// is on.
+// upstreams tell their slowdown, or routes of different priority share it and
+// SetSharedGroups is on.
 func (c *Controller) Enabled(groupName string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -102,7 +102,7 @@
 }
 
 func (c *Controller) enabled(groupName string, now time.Time) bool {
-	if c.loadAware && c.shared[groupName] {
+	if c.sharedGroups && c.shared[groupName] {
 		return true
 	}
 	g := c.groups[groupName]
--- a/internal/coordination/fgadmission/decision_test.go
+++ b/internal/coordination/fgadmission/decision_test.go
@@ -102,11 +102,11 @@
 		group string
 		want  bool
 	}{{"shared", true}, {"equal", false}, {"slow", true}, {"other", false}} {
-		c.SetLoadAware(true)
+		c.SetSharedGroups(true)
 		if got := c.Begin(Request{Group: tt.group}) != nil; got != tt.want {
 			t.Errorf("%s: got %v, want %v", tt.group, got, tt.want)
 		}
-		c.SetLoadAware(false)
+		c.SetSharedGroups(false)
 		if got, want := c.Begin(Request{Group: tt.group}) != nil, tt.group == "slow"; got != want {
 			t.Errorf("%s without the setting: got %v, want %v", tt.group, got, want)
 		}
--- a/internal/coordination/fgadmission/replay_test.go
+++ b/internal/coordination/fgadmission/replay_test.go
@@ -208,7 +208,7 @@
 		g := p.gateways[i]
 		runners.Go(func() { _ = g.control.Run(ctx) })
 		runners.Go(func() { p.exchange(ctx, i) })
-		p.gateways[i].control.SetLoadAware(true)
+		p.gateways[i].control.SetSharedGroups(true)
 		p.gateways[i].control.Update(fgsteer.NewView(fgsteer.ViewSpec{Policy: fgsteer.NewPolicy(fgsteer.PolicySpec{Routes: routes}), Upstreams: upstreams}))
 	}
 	for i := range replayWorkspaces {
--- a/internal/fgcommand/gateway.go
+++ b/internal/fgcommand/gateway.go
@@ -37,11 +37,17 @@
 	maxResponseHeaderBytes = 1 << 20
 )
 
+// gatewayOptions are the flags that change what a gateway does.
+type gatewayOptions struct {
+	headerBytes int
+	maxExtra    float64
+	admitShared bool
+}
+
 func newGateway() *cobra.Command {
 	var path string
 	var checkOnly bool
-	var headerBytes int
-	var maxExtra float64
+	var options gatewayOptions
 	cmd := &cobra.Command{
 		Use:   "gateway",
 		Short: "Run one gateway on the users' platform",
@@ -58,30 +64,31 @@
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
 			}
-			if headerBytes < minResponseHeaderBytes || headerBytes > maxResponseHeaderBytes {
-				return fmt.Errorf("%w: --max-response-header-bytes is %d; accepted is %d to %d", errUsage, headerBytes, minResponseHeaderBytes, maxResponseHeaderBytes)
+			if n := options.headerBytes; n < minResponseHeaderBytes || n > maxResponseHeaderBytes {
+				return fmt.Errorf("%w: --max-response-header-bytes is %d; accepted is %d to %d", errUsage, n, minResponseHeaderBytes, maxResponseHeaderBytes)
 			}
-			if !(maxExtra >= 0 && maxExtra <= fghedge.MaxLimit) {
-				return fmt.Errorf("%w: --max-extra-requests is %g; accepted is 0 to %g, as a part of all requests", errUsage, maxExtra, fghedge.MaxLimit)
+			if x := options.maxExtra; !(x >= 0 && x <= fghedge.MaxLimit) {
+				return fmt.Errorf("%w: --max-extra-requests is %g; accepted is 0 to %g, as a part of all requests", errUsage, x, fghedge.MaxLimit)
 			}
 			if checkOnly {
 				_, err := fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
 				return err
 			}
-			return runGateway(cmd, path, s, headerBytes, maxExtra, hangups)
+			return runGateway(cmd, path, s, options, hangups)
 		},
 	}
 	f := cmd.Flags()
 	f.StringVar(&path, "settings", os.Getenv(fgadapter.SettingsVariable), "path of the platform's settings file")
 	f.BoolVar(&checkOnly, "check", false, "check the settings and exit")
-	f.IntVar(&headerBytes, "max-response-header-bytes", fgpool.DefaultMaxHeadBytes, "size of the largest head of an upstream's response, in bytes; a connection with a larger one is closed")
-	f.Float64Var(&maxExtra, "max-extra-requests", 0, "second sends of slow requests that are idempotent, as a part of all requests of a group, 0 to 0.2; 0 means none")
+	f.IntVar(&options.headerBytes, "max-response-header-bytes", fgpool.DefaultMaxHeadBytes, "size of the largest head of an upstream's response, in bytes; a connection with a larger one is closed")
+	f.Float64Var(&options.maxExtra, "max-extra-requests", 0, "second sends of slow requests that are idempotent, as a part of all requests of a group, 0 to 0.2; 0 means none")
+	f.BoolVar(&options.admitShared, "admit-shared-groups", false, "admit requests by urgency also in groups that routes of different priority share, and not only where upstreams tell how slow they are")
 	return cmd
 }
 
 // runGateway runs a gateway until the command's context ends. The log writer and
 // the settings watch run until the gateway has stopped.
-func runGateway(cmd *cobra.Command, path string, s fgadapter.Settings, headerBytes int, maxExtra float64, hangups <-chan os.Signal) error {
+func runGateway(cmd *cobra.Command, path string, s fgadapter.Settings, o gatewayOptions, hangups <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
@@ -90,7 +97,7 @@
 	logger := newLogger(w)
 	codec := fgadapter.Codec{Regions: s.Regions}
 	settings := gatewaySettings(s)
-	settings.MaxResponseHeaderBytes, settings.MaxExtraRequests = headerBytes, maxExtra
+	settings.MaxResponseHeaderBytes, settings.MaxExtraRequests, settings.AdmitSharedGroups = o.headerBytes, o.maxExtra, o.admitShared
 	g := fggateway.New(fggateway.Options{
 		Settings: settings, Feed: fgadapter.NewStore(s.StoreAddress), Codec: codec, EncodeMember: codec.EncodeMember,
 		Dialect: fgadapter.Dialect{}, Logger: logger, DroppedLines: w.Dropped,
--- a/internal/fggateway/admission_test.go
+++ b/internal/fggateway/admission_test.go
@@ -46,7 +46,7 @@
 				respond(rw, r)
 			})
 			g := env.gateway("vm-1", 1)
-			g.admission.SetLoadAware(true)
+			g.admission.SetSharedGroups(true)
 			writes := 0
 			write := func() {
 				if res := g.mustCall(t, http.MethodPut, "/write/x"); res.status == http.StatusOK {
@@ -116,7 +116,7 @@
 			env.putPolicy()
 			env.upstream("u1", respond)
 			g := env.gateway("vm-1", 1)
-			g.admission.SetLoadAware(true)
+			g.admission.SetSharedGroups(true)
 			now := time.Now()
 			q := &request{view: g.mirror.View(), route: &g.mirror.View().Policy().Routes()[0], group: "g", start: now, deadline: now.Add(time.Minute)}
 			q.attempt = g.beginAdmission(q)
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -67,7 +67,11 @@
 	// MaxExtraRequests limits the second sends of slow requests, as a part of the requests
 	// of each group. Zero means none.
 	MaxExtraRequests float64
-	Bounds           Bounds
+	// AdmitSharedGroups means that requests of groups that routes of different priority share
+	// are admitted by urgency, and not only those of groups whose upstreams tell how slow
+	// they are.
+	AdmitSharedGroups bool
+	Bounds            Bounds
 }
 
 // Bounds are the limits that the platform sets for a gateway. They may change while
@@ -89,9 +93,8 @@
 	// RateSlack is the number of requests by which a workspace may exceed its rate
 	// in a window.
 	RateSlack int
-	// LoadAware means that upstreams of all groups are chosen by expected time, and that
-	// requests of groups that routes of different priority share are admitted by urgency.
-	// Without it, both apply only to groups whose upstreams tell how slow they are.
+	// LoadAware means that upstreams of all groups are chosen by expected time, and not only
+	// those of groups whose upstreams tell how slow they are.
 	LoadAware bool
 }
 
@@ -194,6 +197,7 @@
 	g.admission.SetMaxBytes(g.bodies.limit / waitingMemoryDivisor)
 	g.pool.SetMaxHeadBytes(o.Settings.MaxResponseHeaderBytes)
 	g.hedges.SetLimit(o.Settings.MaxExtraRequests)
+	g.admission.SetSharedGroups(o.Settings.AdmitSharedGroups)
 	g.pool.SetHooks(fgpool.Hooks{Dial: o.DialUpstream, Connected: g.observeConnection})
 	g.SetBounds(o.Settings.Bounds)
 	g.contacts.gateway = g
@@ -244,7 +248,6 @@
 	g.retryBudget.SetBounds(b.RepeatRatio, b.RepeatExtra, b.RepeatWindow)
 	g.limiter.SetSlack(b.RateSlack)
 	g.balancer.SetLoadAware(b.LoadAware)
-	g.admission.SetLoadAware(b.LoadAware)
 }
 
 // applyView applies a new view.
--- a/internal/fggateway/waiting_test.go
+++ b/internal/fggateway/waiting_test.go
@@ -63,7 +63,7 @@
 	env.put("member/near", fgsteer.MemberSpec{VM: "near", Region: "east", PeerAddress: "127.0.0.1:1"})
 	env.put("member/far", fgsteer.MemberSpec{VM: "far", Region: "west", PeerAddress: "127.0.0.1:1"})
 	g := env.gateway("vm-1", 0)
-	g.admission.SetLoadAware(true)
+	g.admission.SetSharedGroups(true)
 	env.eventually("the members are known", func() bool { return len(g.mirror.View().Members()) == 3 })
 	report := []*fgwire.GroupWaiting{{Group: fgadmission.GroupHash("g"), Requests: 2}}
 	for i, tt := range []struct {
