--- a/internal/coordination/fgrelay/layout.go
+++ b/internal/coordination/fgrelay/layout.go
@@ -19,8 +19,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 )
 
@@ -175,16 +173,13 @@
 	return z == l.own && l.isRootFor(origin)
 }
 
-// mate returns the gateway of the zone that is told in a round which states this one
-// holds. Only trees with more than one level need it.
-func (l Layout) mate(round int) (fgsteer.MemberSpec, bool) {
-	deep := slices.ContainsFunc(l.trees, func(t tree) bool { return len(t.order) > t.degree+1 })
-	if !deep || len(l.peers) == 0 {
+// mate returns the gateway of the zone that is told in a round which states of an origin
+// this one holds.
+func (l Layout) mate(origin string, round int) (fgsteer.MemberSpec, bool) {
+	if len(l.trees) == 0 {
 		return fgsteer.MemberSpec{}, false
 	}
-	// Gateways begin at different places, so that each is told about as often.
-	start := int(xxhash.Sum64String(l.self.VM) % uint64(len(l.peers)))
-	return l.peers[(start+round)%len(l.peers)], true
+	return l.trees[l.own.treeOf(origin)].mate(l.self.VM, round)
 }
 
 // find returns a member.
--- a/internal/coordination/fgrelay/relay.go
+++ b/internal/coordination/fgrelay/relay.go
@@ -179,6 +179,9 @@
 	case z == nil:
 		return nil
 	case z == r.layout.own:
+		if tree < 0 && from.PassesOn {
+			return r.passDown(states)
+		}
 		if children := r.layout.Children(tree); len(children) > 0 {
 			return []Send[T]{{Distribution, children, Message[T]{States: states, Tree: tree + 1}}}
 		}
@@ -217,8 +220,9 @@
 	if !r.layout.own.passesOn {
 		return []Send[T]{{Distribution, r.layout.Peers(), Message[T]{States: states}}}
 	}
-	// The sender sees other trees than this gateway.
-	var sends []Send[T]
+	// The sender sees other trees than this gateway, whose children lack the states too:
+	// what comes down the tree now is no longer new here, and not passed on.
+	sends := r.passDown(states)
 	for _, s := range states {
 		t := r.layout.own.treeOf(r.id(s).VM)
 		sends = append(sends, Send[T]{Distribution, r.layout.own.roots[t : t+1], Message[T]{States: []T{s}, Tree: t + 1}})
@@ -226,6 +230,26 @@
 	return sends
 }
 
+// passDown passes states that have not come down their trees on to the children of this
+// gateway in these trees.
+func (r *Relay[T]) passDown(states []T) []Send[T] {
+	byTree := make([][]T, len(r.layout.trees))
+	for _, s := range states {
+		origin := r.id(s).VM
+		if len(byTree) > 0 && r.layout.zoneOf[origin] != r.layout.own {
+			t := r.layout.own.treeOf(origin)
+			byTree[t] = append(byTree[t], s)
+		}
+	}
+	var sends []Send[T]
+	for t, states := range byTree {
+		if children := r.layout.Children(t); len(states) > 0 && len(children) > 0 {
+			sends = append(sends, Send[T]{Distribution, children, Message[T]{States: states, Tree: t + 1}})
+		}
+	}
+	return sends
+}
+
 // sponsor passes states on to the roots of other zones.
 func (r *Relay[T]) sponsor(q *Queue[T], accept func(*zone) bool) []Send[T] {
 	var order []fgsteer.MemberSpec
@@ -259,7 +283,7 @@
 	return q.Take(maxBatchBytes)
 }
 
-// digests tells one gateway of the own zone which states from other zones this one holds,
+// digests tells a gateway of the own zone for each tree which states from other zones this one holds,
 // and those that fetch them for another zone which states it passes on as a root. So
 // states that a dead gateway should have passed on still arrive.
 func (r *Relay[T]) digests() []Send[T] {
@@ -271,12 +295,12 @@
 		}
 		held[m.VM] = append(held[m.VM], h)
 	}
-	mate, hasMate := r.layout.mate(r.round)
+	round := r.round / int(digestInterval/Interval)
 	sibling := r.layout.sibling()
 	r.recent.digest(func(origin string, h Held) {
 		z := r.layout.zoneOf[origin]
-		if hasMate && z != r.layout.own {
-			add(mate, h)
+		if m, ok := r.layout.mate(origin, round); ok && z != r.layout.own {
+			add(m, h)
 		}
 		if z != nil && z != sibling && r.layout.isRootFor(origin) {
 			if m, ok := sibling.backup(origin); ok {
--- a/internal/coordination/fgrelay/tree.go
+++ b/internal/coordination/fgrelay/tree.go
@@ -103,9 +103,30 @@
 	return t
 }
 
+// mate returns the gateway that another one tells in a round which states it holds. In two
+// rounds, each gateway is told by two, which are not below the same parent as itself: the
+// gateways below a dead one are next to each other in the order. A tree of one level needs
+// none: if its root is dead, the next root fetches the states.
+func (t tree) mate(vm string, round int) (fgsteer.MemberSpec, bool) {
+	n := len(t.order)
+	i := t.index(vm)
+	if n <= t.degree+1 || i < 0 {
+		return fgsteer.MemberSpec{}, false
+	}
+	offset := n / 2
+	if round%2 == 1 {
+		offset = n / 3
+	}
+	return t.order[(i+offset)%n], true
+}
+
+func (t tree) index(vm string) int {
+	return slices.IndexFunc(t.order, func(m fgsteer.MemberSpec) bool { return m.VM == vm })
+}
+
 // children returns the gateways to which a gateway passes on the states of the tree.
 func (t tree) children(vm string) []fgsteer.MemberSpec {
-	i := slices.IndexFunc(t.order, func(m fgsteer.MemberSpec) bool { return m.VM == vm })
+	i := t.index(vm)
 	if i < 0 {
 		return nil
 	}
