Use two trees in small zones, and let a third gateway fetch what two roots miss

Cause: with four trees in zones of 20 gateways, a datagram of a root held two states, so that each gateway sent a third more of them than needed. If both roots that may fetch an origin's states were dead, its zone got none until that was noticed.

Change: two trees in zones of up to 30 gateways, four above.

--- a/internal/coordination/fgrelay/recent.go
+++ b/internal/coordination/fgrelay/recent.go
@@ -69,11 +69,12 @@
 	}
 }
 
-// digest calls add with each state of the window that others are told of.
-func (r *recent[T]) digest(add func(origin string, h Held)) {
+// digest calls add with each state that was received more than an age ago, within
+// digestWindow.
+func (r *recent[T]) digest(age time.Duration, add func(origin string, h Held)) {
 	now := time.Now()
 	for key, h := range r.states {
-		if age := now.Sub(h.received); age > digestDelay && age <= digestDelay+digestWindow {
+		if a := now.Sub(h.received); a > age && a <= age+digestWindow {
 			add(h.id.VM, Held{Key: key, Sequence: uint32(h.id.Sequence)})
 		}
 	}
--- a/internal/coordination/fgrelay/relay.go
+++ b/internal/coordination/fgrelay/relay.go
@@ -192,6 +192,10 @@
 			r.toZones.Add(s, r.size(s))
 		}
 	}
+	if from.PassesOn && !r.layout.IsRoot() && len(r.layout.Peers()) > 0 {
+		// No root of the zone has got them.
+		return []Send[T]{{Repair, r.layout.Peers(), Message[T]{States: states}}}
+	}
 	return r.passOnFrom(z, states)
 }
 
@@ -283,31 +287,45 @@
 	return q.Take(maxBatchBytes)
 }
 
-// digests tells a gateway of the own zone for each tree which states from other zones this one holds,
-// and those that fetch them for another zone which states it passes on as a root. So
-// states that a dead gateway should have passed on still arrive.
+// digests tells a gateway of the own zone for each tree which states from other zones this
+// one holds, and those that fetch them for another zone which states it passes on as a
+// root. So states that a dead gateway should have passed on still arrive.
 func (r *Relay[T]) digests() []Send[T] {
 	var order []fgsteer.MemberSpec
 	held := map[string][]Held{}
-	add := func(m fgsteer.MemberSpec, h Held) {
+	add := func(m fgsteer.MemberSpec, ok bool, h Held) {
+		if !ok || m.VM == r.self {
+			return
+		}
 		if held[m.VM] == nil {
 			order = append(order, m)
 		}
 		held[m.VM] = append(held[m.VM], h)
 	}
+	own, sibling := r.layout.own, r.layout.sibling()
 	round := r.round / int(digestInterval/Interval)
-	sibling := r.layout.sibling()
-	r.recent.digest(func(origin string, h Held) {
+	r.recent.digest(digestDelay, func(origin string, h Held) {
 		z := r.layout.zoneOf[origin]
-		if m, ok := r.layout.mate(origin, round); ok && z != r.layout.own {
-			add(m, h)
+		if z != own {
+			m, ok := r.layout.mate(origin, round)
+			add(m, ok, h)
 		}
-		if z != nil && z != sibling && r.layout.isRootFor(origin) {
-			if m, ok := sibling.backup(origin); ok {
-				add(m, h)
-			}
+		if round%2 == 0 && z != nil && z != sibling && r.layout.isRootFor(origin) {
+			m, ok := sibling.backup(origin)
+			add(m, ok, h)
 		}
 	})
+	if round%2 == 1 {
+		// A round later, by which the states have been fetched and passed on unless two
+		// roots are dead: one here, or both there.
+		r.recent.digest(digestDelay+digestInterval, func(origin string, h Held) {
+			z := r.layout.zoneOf[origin]
+			if m, ok := own.backup(origin); ok && m.VM == r.self && z != nil && z != sibling {
+				m, ok := sibling.last(origin)
+				add(m, ok, h)
+			}
+		})
+	}
 	var sends []Send[T]
 	for _, m := range order {
 		for all := held[m.VM]; len(all) > 0; {
--- a/internal/coordination/fgrelay/tree.go
+++ b/internal/coordination/fgrelay/tree.go
@@ -9,17 +9,17 @@
 )
 
 const (
-	// A zone has between minTrees and maxTrees trees. More trees divide the work more
-	// evenly, but the datagrams that a root collects in a round hold fewer states.
-	minTrees = 2
-	maxTrees = 4
-	// membersPerTree bounds what a root sends in a zone whose trees have one level: three
-	// times the states of the other zones, each once.
-	membersPerTree = 3
+	// A zone has fewTrees trees, or manyTrees with more than fewTreesMembers gateways. More
+	// trees divide the work more evenly, but the datagrams that a root collects in a round
+	// hold fewer states: with four trees at 118 gateways, each gateway sends a third more
+	// datagrams.
+	fewTrees        = 2
+	fewTreesMembers = 30
+	manyTrees       = 4
 	// maxDegree bounds the gateways to which one passes on the states of a tree. With
-	// maxTrees trees, a gateway passes on 1.5 times what it receives, and three of four
-	// gateways have children. At 8 it is twice and one in two: the most capable pass on
-	// more, and the busiest of 300 gateways has 156 kB/s instead of 145.
+	// manyTrees trees, a gateway passes on 1.5 times what it receives, and three of four
+	// gateways have children; with fewTrees three times, and a third of them. At 8 it would
+	// be twice and one in two, and the busiest of 300 gateways has 156 kB/s instead of 145.
 	maxDegree = 6
 )
 
@@ -47,8 +47,11 @@
 		z.ranked = slices.Clone(available)
 	}
 	slices.SortFunc(z.ranked, fgsteer.CompareCapacity)
-	n := min(max(minTrees, (len(z.members)+membersPerTree-2)/membersPerTree), maxTrees, len(z.ranked))
-	z.roots = z.ranked[:n]
+	trees := fewTrees
+	if len(z.members) > fewTreesMembers {
+		trees = manyTrees
+	}
+	z.roots = z.ranked[:min(trees, len(z.ranked))]
 }
 
 func keep(members []fgsteer.MemberSpec, accept func(vm string) bool) []fgsteer.MemberSpec {
@@ -63,7 +66,8 @@
 // root returns the root of the tree that carries an origin's states.
 func (z *zone) root(origin string) fgsteer.MemberSpec { return z.roots[z.treeOf(origin)] }
 
-// backup returns the gateway that fetches an origin's states if their root is dead.
+// backup returns the gateway that fetches an origin's states if their root is dead: the
+// next root.
 func (z *zone) backup(origin string) (fgsteer.MemberSpec, bool) {
 	if !z.passesOn || len(z.roots) < 2 {
 		return fgsteer.MemberSpec{}, false
@@ -71,6 +75,16 @@
 	return z.roots[(z.treeOf(origin)+1)%len(z.roots)], true
 }
 
+// last returns the gateway that fetches an origin's states if their root and the next one
+// are dead.
+func (z *zone) last(origin string) (fgsteer.MemberSpec, bool) {
+	i := len(z.roots) + z.treeOf(origin)
+	if !z.passesOn || i >= len(z.ranked) {
+		return fgsteer.MemberSpec{}, false
+	}
+	return z.ranked[i], true
+}
+
 // tree is one tree of a zone. The children of the gateway at place i of order are those
 // from place i*degree+1 to (i+1)*degree.
 type tree struct {
