Let gateways that start take copies from each other, and spread registrations

Cause: 300 gateways that start together read the whole store at once over its link, and each call ended after 1.5 s however much had arrived, so that all began again. Look-ups failed while the policy was not known, and named killed gateways, whose entries last for the 4 s of their leases. Gateways followed contacts that were killed or starting too. After a restore all gateways registered at once, and the store carried out calls that had timed out.

Change: in a fleet of more than 20, a gateway that is no contact of its zone reads the entries of the gateways, takes a copy of one, and reads from the store what has changed since before anything takes effect. Copies take half of a gateway's link. Look-ups wait up to 0.4 s for the policy, and at a start name gateways that were heard or started at the same time. Contacts are followed once they were heard. Registrations after lost leases are spread over 4 ms for each gateway. The steps of a start are logged and are a metric.

The time until a fleet of 300 serves again was not measured here.

--- a/internal/coordination/fgmirror/announce.go
+++ b/internal/coordination/fgmirror/announce.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
@@ -16,6 +17,10 @@
 	// renewInterval fits three times into memberLeaseTTL, so that two renewals in
 	// a row may fail.
 	renewInterval = 1300 * time.Millisecond
+	// registrationTime is the time that the store needs for the two writes of a
+	// registration. After the store was restored, all gateways register: without a spread,
+	// most of their calls end at their timeouts, and the store carries them out in vain.
+	registrationTime = 4 * time.Millisecond
 	// revokeTimeout bounds the call that removes the entry of a stopping VM.
 	revokeTimeout = 500 * time.Millisecond
 )
@@ -32,6 +37,7 @@
 			err = m.options.Feed.Renew(ctx, lease)
 		} else if lease, err = m.register(ctx, key, data); err == nil {
 			registered = true
+			m.notifyRegistered()
 			m.options.Logger.Info("entry registered under a lease", "key", key, "lease", lease.ID, "ttl", lease.TTL.String())
 		}
 		wait := renewInterval
@@ -41,14 +47,18 @@
 		case ctx.Err() != nil:
 		case errors.Is(err, fgstore.ErrLeaseEnded):
 			m.options.Logger.Info("lease expired, registering the entry again", "key", key, "lease", lease.ID)
-			wait = retryDelay
-			if registered {
-				registered, wait = false, 0
+			wait = m.registrationWait()
+			if !registered {
+				wait += retryDelay
 			}
+			registered = false
 		default:
 			m.RecordFailure(err)
 			m.options.Logger.Info("registering or renewing the entry failed", "key", key, "error", err.Error())
 			wait = retryDelay
+			if !registered {
+				wait += m.registrationWait()
+			}
 		}
 		_ = fgtimer.Wait(ctx, wait)
 	}
@@ -62,6 +72,27 @@
 	return ctx.Err()
 }
 
+// registrationSpread returns the time over which the gateways of the fleet spread their
+// registrations when all of them register again.
+func (m *Mirror) registrationSpread() time.Duration {
+	v := m.View()
+	if v == nil {
+		return 0
+	}
+	return registrationTime * time.Duration(len(v.Members()))
+}
+
+// registrationWait returns how long this gateway waits before it registers again.
+func (m *Mirror) registrationWait() time.Duration {
+	return time.Duration(rand.Float64() * float64(m.registrationSpread()))
+}
+
+func (m *Mirror) notifyRegistered() {
+	if m.options.Registered != nil {
+		m.options.Registered()
+	}
+}
+
 // register obtains a lease and writes the value under it.
 func (m *Mirror) register(ctx context.Context, key string, data []byte) (fgstore.Lease, error) {
 	lease, err := m.options.Feed.Grant(ctx, memberLeaseTTL)
--- a/internal/coordination/fgmirror/mirror.go
+++ b/internal/coordination/fgmirror/mirror.go
@@ -57,6 +57,11 @@
 	// Publish is called with each new view before View returns it, so that whoever
 	// sees a view finds it applied. Calls do not overlap.
 	Publish func(*fgsteer.View)
+	// Copy returns a copy of the store that another gateway holds, before the first read.
+	// It reports false if the store itself is to be read. It may be nil.
+	Copy func(ctx context.Context) (Copy, bool)
+	// Registered is called after each write of the entry of Announce. It may be nil.
+	Registered func()
 }
 
 // Mirror maintains a copy of the store. It is safe for concurrent use.
@@ -202,13 +207,13 @@
 // step reads all entries if none are loaded, or else waits for the next changes.
 func (m *Mirror) step(ctx context.Context, loaded *bool) error {
 	if !*loaded {
-		values, position, err := m.options.Feed.RangeValues(ctx, "")
+		c, err := m.read(ctx)
 		if err != nil {
 			return err
 		}
 		m.RecordSuccess()
 		m.setDirect(true)
-		m.Replace(values, position, m.Recovering() || position.Era > m.Era())
+		m.Replace(c.Values, c.Position, m.Recovering() || c.Position.Era > m.Era())
 		m.recordCurrent()
 		*loaded = true
 		return nil
@@ -380,6 +385,9 @@
 			if now := time.Now(); e.deleteAt.Before(now) {
 				e.deleteAt = now.Add(deletionGrace)
 			}
+			if e.member != nil {
+				e.deleteAt = e.deleteAt.Add(m.registrationSpread())
+			}
 			m.options.Logger.Info("entry deleted in an outage of the store, kept for its owner to register again", "key", key, "until", e.deleteAt)
 		}
 		return
--- a/internal/fggateway/contacts.go
+++ b/internal/fggateway/contacts.go
@@ -75,7 +75,7 @@
 func (c *contacts) choose(members []fgsteer.MemberSpec) fgsteer.MemberSpec {
 	g := c.gateway
 	self := g.settings.Self
-	all := fgmirror.Contacts(members, self.AvailabilityZone, g.isAvailable)
+	all := fgmirror.Contacts(members, self.AvailabilityZone, g.mayBeContact)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var usable []fgsteer.MemberSpec
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgpath"
@@ -133,6 +134,7 @@
 		p.states = map[string]peerState{}
 		p.firstReceived = now
 	}
+	g.recordStep(stepPeerHeard)
 	old, ok := p.states[s.GetVm()]
 	if !ok || old.incarnation != s.GetIncarnation() || old.leaving != s.GetLeaving() || old.noPath != s.GetNoPath() {
 		g.logger.Info("gateway state changed", "vm", s.GetVm(), "incarnation", s.GetIncarnation(), "leaving", s.GetLeaving(), "noPath", s.GetNoPath())
@@ -299,11 +301,7 @@
 	if !own.Before(position) {
 		return
 	}
-	values := make([]fgstore.Value, len(response.GetEntries()))
-	for i, e := range response.GetEntries() {
-		values[i] = fgstore.Value{Key: e.GetKey(), Data: e.GetValue(), Revision: e.GetRevision()}
-	}
-	g.mirror.Replace(values, position, response.GetRecovering())
+	g.mirror.Replace(valuesOf(response), position, response.GetRecovering())
 	g.logger.Info("copy of the store fetched", "from", source, "era", position.Era, "revision", position.Revision, "wasEra", own.Era, "was", own.Revision, "storeAgeMs", g.mirror.Age().Milliseconds())
 }
 
@@ -315,6 +313,9 @@
 	return fgstore.Position{Era: m.GetEra(), Revision: m.GetRevision()}
 }
 
+// errBusy means that the gateway sends as many copies of the store as its link carries.
+var errBusy = merry.Sentinel("the gateway sends other copies of the store")
+
 // storeService serves calls of other gateways.
 type storeService struct{ gateway *Gateway }
 
@@ -329,6 +330,10 @@
 	for _, v := range values {
 		response.Entries = append(response.Entries, &fgwire.StoreEntry{Key: v.Key, Value: v.Data, Revision: v.Revision})
 	}
+	// A copy for a gateway that lags behind is never refused.
+	if r.GetRevision() == 0 && !s.gateway.copyLimit.take(proto.Size(response), s.gateway.settings.Self.Capacity) {
+		return nil, errBusy
+	}
 	s.gateway.metrics.PeerBytes("copy", reachUnknown, proto.Size(response))
 	return response, nil
 }
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -128,6 +128,8 @@
 	bounds      atomic.Pointer[Bounds]
 	leaving     atomic.Bool
 	started     time.Time
+	steps       startSteps
+	copyLimit   copyLimit
 }
 
 // logSamplers limit the rate of log lines about requests.
@@ -181,7 +183,7 @@
 	g.SetBounds(o.Settings.Bounds)
 	g.contacts.gateway = g
 	g.relay.relay = newRelay(o.Settings.Self.VM)
-	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.applyView, Contact: g.contacts.next})
+	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.applyView, Contact: g.contacts.next, Copy: g.startCopy, Registered: func() { g.recordStep(stepRegistered) }})
 	g.metrics = g.newMetrics()
 	return g
 }
@@ -229,6 +231,9 @@
 // applyView applies a new view.
 func (g *Gateway) applyView(v *fgsteer.View) {
 	g.balancer.Update(v)
+	if v.Policy() != nil {
+		g.recordStep(stepStoreRead)
+	}
 	g.path.SetUpstreams(countUpstreams(v))
 	// This VM may serve requests before its own entry is in the view.
 	vms := []string{g.settings.Self.VM}
--- a/internal/fggateway/lookup.go
+++ b/internal/fggateway/lookup.go
@@ -24,7 +24,7 @@
 	r := httprouter.New()
 	codec := g.dialect.Lookup()
 	r.Handle(codec.Method, codec.Path, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-		v := g.mirror.View()
+		v := g.awaitView(r.Context(), time.Now())
 		if v == nil || v.Policy() == nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -35,7 +35,9 @@
 		}
 		if err := codec.Write(w, response); err != nil {
 			g.logger.Info("writing a look-up response failed", "error", err.Error())
+			return
 		}
+		g.recordStep(stepLookup)
 	})
 	return r
 }
@@ -48,7 +50,7 @@
 func (g *Gateway) addresses(v *fgsteer.View, query fgmessage.Lookup) []string {
 	var sameRegion, all, noPath []fglookup.Candidate
 	for _, m := range v.Members() {
-		if !g.isAvailable(m.VM) {
+		if !g.isUp(m) {
 			continue
 		}
 		c := fglookup.Candidate{Address: m.CallerAddress, Capacity: m.Capacity}
--- a/internal/fggateway/relay.go
+++ b/internal/fggateway/relay.go
@@ -73,12 +73,15 @@
 // IsAvailable implements fgrelay.Status.
 func (s peerStatus) IsAvailable(vm string) bool { return s.gateway.isAvailable(vm) }
 
-// PassesOn implements fgrelay.Status.
+// PassesOn implements fgrelay.Status. While this gateway is starting, those that it has
+// not heard count as of its version.
 func (s peerStatus) PassesOn(vm string) bool {
+	starting := s.gateway.isStarting()
 	p := &s.gateway.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return vm == s.gateway.settings.Self.VM || p.states[vm].passesOn
+	state, heard := p.states[vm]
+	return vm == s.gateway.settings.Self.VM || state.passesOn || starting && !heard
 }
 
 // updateLayout recomputes the receivers of states from the current view.
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -241,6 +241,9 @@
 		routeName = q.route.Name
 	}
 	g.metrics.RequestEnded(routeName, string(c), took)
+	if c == codeAnswered {
+		g.recordStep(stepRequest)
+	}
 	skipped, ok := g.logSamplers.forCode(c).Allow(q.start)
 	if !ok {
 		return
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -17,6 +17,7 @@
 	sends    *prometheus.CounterVec
 	peers    *prometheus.CounterVec
 	detours  *prometheus.CounterVec
+	start    *prometheus.GaugeVec
 }
 
 // GatewayCallbacks holds functions that return the current values of metrics. They
@@ -52,7 +53,9 @@
 		detours: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_detours_total",
 			Help: "Requests sent through other gateways by how they ended."}, []string{"result"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours,
+	m.start = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_start_seconds",
+		Help: "Time from the start of the process to the end of each step of its start."}, []string{"step"})
+	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.start,
 		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return c.StoreAge().Seconds() }),
 		gauge("gateway_store_copy_age_seconds", "Time since the copy of the store was last known to hold all changes.", func() float64 { return c.StoreCopyAge().Seconds() }),
 		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(c.StoreRevision()) }),
@@ -96,6 +99,11 @@
 	m.peers.WithLabelValues(kind, reach).Add(float64(n))
 }
 
+// StartStep records how long after the start of the process a step of it ended.
+func (m *Gateway) StartStep(step string, took time.Duration) {
+	m.start.WithLabelValues(step).Set(took.Seconds())
+}
+
 // SendEnded records a send of a request to an upstream of a group.
 func (m *Gateway) SendEnded(group, result string) { m.sends.WithLabelValues(group, result).Inc() }
 
--- a/internal/transport/fggossip/follower.go
+++ b/internal/transport/fggossip/follower.go
@@ -14,6 +14,10 @@
 // followMargin is added to the wait of a FollowStore call to get its timeout.
 const followMargin = 500 * time.Millisecond
 
+// dialTimeout bounds the opening of a connection to a gateway of the same zone. One that was
+// killed with its VM refuses no connection.
+const dialTimeout = 300 * time.Millisecond
+
 // StoreFollower calls FollowStore of one gateway over one connection. It is not safe
 // for concurrent use.
 type StoreFollower struct {
@@ -31,7 +35,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+followMargin)
 	defer cancel()
 	if f.rpc == nil {
-		var d net.Dialer
+		d := net.Dialer{Timeout: dialTimeout}
 		c, err := d.DialContext(ctx, "tcp", f.address)
 		if err != nil {
 			return nil, err
