Compress copies for gateways that start, and let zones take over reading in turn

Cause: gateways gave up waiting for a copy at random, most of them before a contact had read the store, whose link is busy with the entries of the gateways at first.

Change: gateways that are no contacts read the store two of a zone at a time, 0.5 s apart. Copies are compressed where the caller reads them so. A contact that has sent a copy may be followed at once.

--- a/internal/fggateway/contacts.go
+++ b/internal/fggateway/contacts.go
@@ -75,7 +75,7 @@
 func (c *contacts) choose(members []fgsteer.MemberSpec) fgsteer.MemberSpec {
 	g := c.gateway
 	self := g.settings.Self
-	all := fgmirror.Contacts(members, self.AvailabilityZone, g.mayBeContact)
+	all := fgmirror.Contacts(members, self.AvailabilityZone, g.isAvailable)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var usable []fgsteer.MemberSpec
@@ -83,7 +83,7 @@
 		if m.VM == self.VM {
 			return fgsteer.MemberSpec{}
 		}
-		if time.Now().After(c.avoidUntil[m.VM]) {
+		if g.mayFollow(m.VM) && time.Now().After(c.avoidUntil[m.VM]) {
 			usable = append(usable, m)
 		}
 	}
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -330,6 +330,11 @@
 	for _, v := range values {
 		response.Entries = append(response.Entries, &fgwire.StoreEntry{Key: v.Key, Value: v.Data, Revision: v.Revision})
 	}
+	if r.GetCompressed() {
+		if data, err := s.gateway.compressedCopy.of(position, response.GetEntries()); err == nil {
+			response.Entries, response.Compressed = nil, data
+		}
+	}
 	// A copy for a gateway that lags behind is never refused.
 	if r.GetRevision() == 0 && !s.gateway.copyLimit.take(proto.Size(response), s.gateway.settings.Self.Capacity) {
 		return nil, errBusy
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -130,6 +130,8 @@
 	started     time.Time
 	steps       startSteps
 	copyLimit   copyLimit
+	// compressedCopy is the last copy of the store that was sent to another gateway.
+	compressedCopy compressedCopy
 }
 
 // logSamplers limit the rate of log lines about requests.
--- a/internal/fggateway/start.go
+++ b/internal/fggateway/start.go
@@ -31,7 +31,11 @@
 )
 
 // startSteps records when the steps of a start ended. The zero value is ready to use.
-type startSteps struct{ done sync.Map }
+type startSteps struct {
+	done sync.Map
+	// copied holds the VMs that have sent a copy of the store.
+	copied sync.Map
+}
 
 // recordStep logs a step of the start and sets its metric, once.
 func (g *Gateway) recordStep(s startStep) {
@@ -69,14 +73,15 @@
 	return ok
 }
 
-// mayBeContact reports whether a gateway may be followed. While this one is starting, it
-// follows only those that it has heard: a call to one that was killed, or is starting
-// too, fails only after a while, in which the copy stands still.
-func (g *Gateway) mayBeContact(vm string) bool {
-	if g.isStarting() && vm != g.settings.Self.VM && !g.peers.isHeard(vm) {
-		return false
+// mayFollow reports whether a contact may be followed. While this gateway is starting, it
+// follows only one that it has heard or that has sent it a copy: a call to one that was
+// killed, or is starting too, fails only after a while, in which the copy stands still.
+func (g *Gateway) mayFollow(vm string) bool {
+	if !g.isStarting() || g.peers.isHeard(vm) {
+		return true
 	}
-	return g.isAvailable(vm)
+	_, ok := g.steps.copied.Load(vm)
+	return ok
 }
 
 // awaitView waits for a view with a policy at a gateway that has just started, at most
--- a/internal/fggateway/start_test.go
+++ b/internal/fggateway/start_test.go
@@ -36,9 +36,9 @@
 	if want := []string{g.settings.Self.CallerAddress, "heard", "starting"}; !slices.Equal(got, want) {
 		t.Errorf("addresses %v, want %v", got, want)
 	}
-	for _, vm := range []string{"killed", "starting"} {
-		if g.mayBeContact(vm) {
-			t.Errorf("%s may be followed, and has not been heard", vm)
+	for _, vm := range []string{"killed", "starting", "heard"} {
+		if got, want := g.mayFollow(vm), vm == "heard"; got != want {
+			t.Errorf("%s may be followed: %v, want %v", vm, got, want)
 		}
 	}
 }
--- a/internal/fggateway/startcopy.go
+++ b/internal/fggateway/startcopy.go
@@ -20,48 +20,67 @@
 	// maxReaders is the number of registered gateways up to which each reads the whole
 	// store at its start.
 	maxReaders = 20
-	// copyWaitPerMember times the number of gateways is the time within which a gateway
-	// that gets no copy reads the store itself, at random, and at most maxCopyWait.
-	copyWaitPerMember = 10 * time.Millisecond
-	maxCopyWait       = 2 * time.Second
+	// The contacts of a zone read the store at once. Of the others, the two with the next
+	// higher capacities read it if they have got no copy for takeOverTime, and so on, until
+	// after maxCopyWait all do.
+	takeOverTime = 500 * time.Millisecond
+	maxCopyWait  = 4 * time.Second
 	// copyRetryInterval is the time between two rounds of calls for a copy.
 	copyRetryInterval = 100 * time.Millisecond
-	// copyTimeout bounds a call for a copy at a start. The next gateway is asked after
-	// it; most of those that do not respond at once have been killed.
+	// copyTimeout bounds a call for a copy at a start. A gateway that has not responded
+	// within slowCopy has probably been killed with its VM, and is not asked again.
 	copyTimeout = 500 * time.Millisecond
+	slowCopy    = 250 * time.Millisecond
 	// copyBytesPerCapacity times its capacity are the bytes of copies that a gateway
 	// sends per second: half of what its link carries, which its requests need too.
 	copyBytesPerCapacity = 12_500
 )
 
 // startCopy returns the copy of the store that another gateway holds. It reports false
-// if this one should read the store itself: in a small fleet, as a contact of its zone, or
-// if no gateway has had a copy for a while.
+// if this one should read the store itself.
 func (g *Gateway) startCopy(ctx context.Context) (fgmirror.Copy, bool) {
 	key, _, err := g.options.EncodeMember(g.settings.Self)
 	if err != nil {
 		return fgmirror.Copy{}, false
 	}
 	members := g.readMembers(ctx, strings.TrimSuffix(key, g.settings.Self.VM))
-	if len(members) <= maxReaders {
+	return copySearch{self: g.settings.Self, members: members, fetch: g.copyFrom}.run(ctx)
+}
+
+// copySearch is the search of a starting gateway for a copy of the store.
+type copySearch struct {
+	self    fgsteer.MemberSpec
+	members []fgsteer.MemberSpec
+	fetch   func(ctx context.Context, m fgsteer.MemberSpec) (fgmirror.Copy, bool)
+}
+
+// run returns a copy. It reports false if the gateway should read the store itself: in a
+// small fleet, as a contact of its zone, or if no gateway has had a copy for a while.
+func (s copySearch) run(ctx context.Context) (fgmirror.Copy, bool) {
+	if len(s.members) <= maxReaders {
 		return fgmirror.Copy{}, false
 	}
-	self := g.settings.Self
-	contacts := fgmirror.Contacts(members, self.AvailabilityZone, func(string) bool { return true })
-	if isIn(contacts, self.VM) {
+	contacts := fgmirror.Contacts(s.members, s.self.AvailabilityZone, func(string) bool { return true })
+	if isIn(contacts, s.self.VM) {
 		return fgmirror.Copy{}, false
 	}
 	var zone, region []fgsteer.MemberSpec
-	for _, m := range members {
+	for _, m := range s.members {
 		switch {
-		case m.VM == self.VM:
-		case m.AvailabilityZone == self.AvailabilityZone:
+		case m.VM == s.self.VM:
+		case m.AvailabilityZone == s.self.AvailabilityZone:
 			zone = append(zone, m)
-		case m.Region == self.Region:
+		case m.Region == s.self.Region:
 			region = append(region, m)
 		}
 	}
-	end := time.Now().Add(rand.N(min(copyWaitPerMember*time.Duration(len(members)), maxCopyWait)))
+	slices.SortFunc(zone, fgsteer.CompareCapacity)
+	rank := len(zone)
+	if i := slices.IndexFunc(zone, func(m fgsteer.MemberSpec) bool { return fgsteer.CompareCapacity(s.self, m) < 0 }); i >= 0 {
+		rank = i
+	}
+	end := time.Now().Add(min(takeOverTime*time.Duration(rank/max(1, len(contacts))), maxCopyWait+rand.N(takeOverTime)))
+	silent := map[string]bool{}
 	for ctx.Err() == nil {
 		// A contact has a copy first. Later any gateway may have one, and is less busy. If
 		// the zone has just lost all of its gateways, other zones have copies.
@@ -69,9 +88,15 @@
 			if len(all) == 0 {
 				continue
 			}
-			if c, ok := g.copyFrom(ctx, all[rand.N(len(all))]); ok {
+			m := all[rand.N(len(all))]
+			if silent[m.VM] {
+				continue
+			}
+			start := time.Now()
+			if c, ok := s.fetch(ctx, m); ok {
 				return c, true
 			}
+			silent[m.VM] = time.Since(start) > slowCopy
 		}
 		if !time.Now().Before(end) {
 			break
@@ -108,6 +133,7 @@
 	if err != nil || len(response.GetEntries()) == 0 {
 		return fgmirror.Copy{}, false
 	}
+	g.steps.copied.Store(m.VM, true)
 	return fgmirror.Copy{Values: valuesOf(response), Position: positionOf(response)}, true
 }
 
@@ -132,6 +158,28 @@
 	return true
 }
 
+// compressedCopy holds a compressed copy of the store, which many gateways that start may
+// ask for. The zero value is ready to use.
+type compressedCopy struct {
+	mu       sync.Mutex
+	position fgstore.Position
+	data     []byte
+}
+
+// of returns the compressed entries of a position.
+func (c *compressedCopy) of(position fgstore.Position, entries []*fgwire.StoreEntry) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.data) > 0 && c.position == position {
+		return c.data, nil
+	}
+	data, err := fggossip.CompressEntries(entries)
+	if err == nil {
+		c.position, c.data = position, data
+	}
+	return data, err
+}
+
 func valuesOf(response *fgwire.StoreAnswer) []fgstore.Value {
 	values := make([]fgstore.Value, len(response.GetEntries()))
 	for i, e := range response.GetEntries() {
--- a/internal/transport/fggossip/follower.go
+++ b/internal/transport/fggossip/follower.go
@@ -14,8 +14,8 @@
 // followMargin is added to the wait of a FollowStore call to get its timeout.
 const followMargin = 500 * time.Millisecond
 
-// dialTimeout bounds the opening of a connection to a gateway of the same zone. One that was
-// killed with its VM refuses no connection.
+// dialTimeout bounds the opening of a connection to a gateway. One that was killed with its
+// VM refuses no connection.
 const dialTimeout = 300 * time.Millisecond
 
 // StoreFollower calls FollowStore of one gateway over one connection. It is not safe
--- a/internal/transport/fggossip/socket.go
+++ b/internal/transport/fggossip/socket.go
@@ -111,14 +111,19 @@
 func FetchStore(ctx context.Context, address string, after fgstore.Position) (*fgwire.StoreAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var d net.Dialer
+	d := net.Dialer{Timeout: dialTimeout}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	rpc := drpcconn.New(c)
 	defer func() { _ = rpc.Close() }()
-	return fgwire.NewDRPCGatewayClient(rpc).FetchStore(ctx, &fgwire.StoreRequest{Era: after.Era, Revision: after.Revision})
+	answer, err := fgwire.NewDRPCGatewayClient(rpc).FetchStore(ctx, &fgwire.StoreRequest{Era: after.Era, Revision: after.Revision, Compressed: true})
+	if err != nil || len(answer.GetCompressed()) == 0 {
+		return answer, err
+	}
+	answer.Entries, err = decompressEntries(answer.GetCompressed())
+	return answer, err
 }
 
 // MeasureRTT returns the round-trip time to a peer, measured as the time that it
