--- a/internal/fggateway/fleetstart_test.go
+++ b/internal/fggateway/fleetstart_test.go
@@ -100,6 +100,11 @@
 			name: "a zone was killed", within: 3 * time.Second,
 			killed: func(_ int, m fgsteer.MemberSpec) bool { return m.AvailabilityZone == "r1-0" },
 		},
+		{
+			name: "a region was killed, and one of its zones does not start again", within: 3 * time.Second,
+			killed: func(_ int, m fgsteer.MemberSpec) bool { return m.Region == "r1" },
+			dead:   func(_ int, m fgsteer.MemberSpec) bool { return m.AvailabilityZone == "r1-1" },
+		},
 		{
 			name: "all were killed, and the contacts do not start again", killed: isKilled, within: 8 * time.Second,
 			dead: func(_ int, m fgsteer.MemberSpec) bool { return m.Capacity == 533 },
--- a/internal/fggateway/startcopy.go
+++ b/internal/fggateway/startcopy.go
@@ -18,8 +18,8 @@
 
 const (
 	// maxReaders is the number of registered gateways up to which each reads the whole
-	// store at its start.
-	maxReaders = 20
+	// store at its start: with few, that takes less time than a call for a copy.
+	maxReaders = 50
 	// The contacts of a zone read the store at once. Of the others, the two with the next
 	// higher capacities read it if they have got no copy for takeOverTime, and so on, until
 	// after maxCopyWait all do.
