Ask no further gateways of a zone that does not respond for a copy of the store

Cause: gateways that start while another zone of the region is down asked one after the other of its gateways, 0.5 s each (2.8 s until the last had a copy, in a simulation).

Change: after two that have not responded, no other of the zone is asked.

--- a/internal/fggateway/startcopy.go
+++ b/internal/fggateway/startcopy.go
@@ -31,6 +31,9 @@
 	// within slowCopy has probably been killed with its VM, and is not asked again.
 	copyTimeout = 500 * time.Millisecond
 	slowCopy    = 250 * time.Millisecond
+	// maxSilentOfZone is the number of gateways of another zone that have not responded
+	// after which none of the zone is asked again: it may have lost its power.
+	maxSilentOfZone = 2
 	// copyBytesPerCapacity times its capacity are the bytes of copies that a gateway
 	// sends per second: half of what its link carries, which its requests need too.
 	copyBytesPerCapacity = 12_500
@@ -80,7 +83,9 @@
 		rank = i
 	}
 	end := time.Now().Add(min(takeOverTime*time.Duration(rank/max(1, len(contacts))), maxCopyWait+rand.N(takeOverTime)))
-	silent := map[string]bool{}
+	// silent holds the VMs that have not responded, and silentOfZone counts those of other
+	// zones.
+	silent, silentOfZone := map[string]bool{}, map[string]int{}
 	for ctx.Err() == nil {
 		// A contact has a copy first. Later any gateway may have one, and is less busy. If
 		// the zone has just lost all of its gateways, other zones have copies.
@@ -89,14 +94,19 @@
 				continue
 			}
 			m := all[rand.N(len(all))]
-			if silent[m.VM] {
+			if silent[m.VM] || silentOfZone[m.AvailabilityZone] >= maxSilentOfZone {
 				continue
 			}
 			start := time.Now()
 			if c, ok := s.fetch(ctx, m); ok {
 				return c, true
 			}
-			silent[m.VM] = time.Since(start) > slowCopy
+			if time.Since(start) > slowCopy {
+				silent[m.VM] = true
+				if m.AvailabilityZone != s.self.AvailabilityZone {
+					silentOfZone[m.AvailabilityZone]++
+				}
+			}
 		}
 		if !time.Now().Before(end) {
 			break
