Compute a gateway's places in the trees once for each layout

Cause: each state that is passed on or named looked for the gateway's place among its zone.

Change: the layout holds the places.

--- a/internal/coordination/fgrelay/layout.go
+++ b/internal/coordination/fgrelay/layout.go
@@ -38,6 +38,8 @@
 	// peers get the own state directly.
 	peers []fgsteer.MemberSpec
 	trees []tree
+	// places are those of this gateway in the trees.
+	places []int
 }
 
 // Status tells what a gateway knows about others.
@@ -77,7 +79,8 @@
 	}
 	if l.own.passesOn {
 		for i := range l.own.roots {
-			l.trees = append(l.trees, l.own.newTree(i))
+			t := l.own.newTree(i)
+			l.trees, l.places = append(l.trees, t), append(l.places, t.index(self.VM))
 		}
 	}
 	return l
@@ -123,7 +126,7 @@
 	if tree < 0 || tree >= len(l.trees) {
 		return nil
 	}
-	return l.trees[tree].children(l.self.VM)
+	return l.trees[tree].children(l.places[tree])
 }
 
 // entries returns the roots of all other zones for an origin's states. accept limits
@@ -179,7 +182,8 @@
 	if len(l.trees) == 0 {
 		return fgsteer.MemberSpec{}, false
 	}
-	return l.trees[l.own.treeOf(origin)].mate(l.self.VM, round)
+	t := l.own.treeOf(origin)
+	return l.trees[t].mate(l.places[t], round)
 }
 
 // find returns a member.
--- a/internal/coordination/fgrelay/layout_test.go
+++ b/internal/coordination/fgrelay/layout_test.go
@@ -107,7 +107,7 @@
 						t.Fatalf("%s has two parents in tree %d", m.VM, tree)
 					}
 					reached[m.VM] = true
-					children := l.trees[tree].children(m.VM)
+					children := l.trees[tree].children(l.trees[tree].index(m.VM))
 					if len(children) > 0 {
 						parentRoles[m.VM]++
 						if status.gone[m.VM] || status.old[m.VM] {
--- a/internal/coordination/fgrelay/tree.go
+++ b/internal/coordination/fgrelay/tree.go
@@ -117,13 +117,12 @@
 	return t
 }
 
-// mate returns the gateway that another one tells in a round which states it holds. In two
+// mate returns the gateway that the one at a place tells in a round which states it holds. In two
 // rounds, each gateway is told by two, which are not below the same parent as itself: the
 // gateways below a dead one are next to each other in the order. A tree of one level needs
 // none: if its root is dead, the next root fetches the states.
-func (t tree) mate(vm string, round int) (fgsteer.MemberSpec, bool) {
+func (t tree) mate(i, round int) (fgsteer.MemberSpec, bool) {
 	n := len(t.order)
-	i := t.index(vm)
 	if n <= t.degree+1 || i < 0 {
 		return fgsteer.MemberSpec{}, false
 	}
@@ -134,13 +133,14 @@
 	return t.order[(i+offset)%n], true
 }
 
+// index returns the place of a gateway, or -1.
 func (t tree) index(vm string) int {
 	return slices.IndexFunc(t.order, func(m fgsteer.MemberSpec) bool { return m.VM == vm })
 }
 
-// children returns the gateways to which a gateway passes on the states of the tree.
-func (t tree) children(vm string) []fgsteer.MemberSpec {
-	i := t.index(vm)
+// children returns the gateways to which the one at a place passes on the states of the
+// tree.
+func (t tree) children(i int) []fgsteer.MemberSpec {
 	if i < 0 {
 		return nil
 	}
