--- a/internal/coordination/fgmirror/announce.go
+++ b/internal/coordination/fgmirror/announce.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -18,6 +19,10 @@
 	// renewInterval fits three times into memberLeaseTTL, so that two renewals in
 	// a row may fail.
 	renewInterval = 1300 * time.Millisecond
+	// registrationTime is the time that the store needs for the two writes of a
+	// registration. After the store was restored, all gateways register: without a spread,
+	// most of their calls end at their timeouts, and the store carries them out in vain.
+	registrationTime = 4 * time.Millisecond
 	// revokeTimeout bounds the call that removes the entry of a stopping VM.
 	revokeTimeout = 500 * time.Millisecond
 )
@@ -53,9 +58,9 @@
 		case ctx.Err() != nil:
 		case errors.Is(err, fgstore.ErrLeaseEnded):
 			m.options.Logger.Info("lease expired, registering the entry again", "key", key, "lease", a.lease.ID)
-			wait = retryDelay
-			if wasRegistered {
-				wait = 0
+			wait = m.registrationWait()
+			if !wasRegistered {
+				wait += retryDelay
 			}
 		case errors.Is(err, fgstore.ErrConflict), errors.Is(err, errNewerProcess):
 			m.RecordSuccess()
@@ -65,6 +70,9 @@
 			m.RecordFailure(err)
 			m.options.Logger.Info("registering or renewing the entry failed", "key", key, "error", err.Error())
 			wait = retryDelay
+			if !a.registered {
+				wait += m.registrationWait()
+			}
 		}
 		_ = fgtimer.Wait(ctx, wait)
 	}
@@ -78,6 +86,27 @@
 	return ctx.Err()
 }
 
+// registrationSpread returns the time over which the gateways of the fleet spread their
+// registrations when all of them register again.
+func (m *Mirror) registrationSpread() time.Duration {
+	v := m.View()
+	if v == nil {
+		return 0
+	}
+	return registrationTime * time.Duration(len(v.Members()))
+}
+
+// registrationWait returns how long this gateway waits before it registers again.
+func (m *Mirror) registrationWait() time.Duration {
+	return time.Duration(rand.Float64() * float64(m.registrationSpread()))
+}
+
+func (m *Mirror) notifyRegistered() {
+	if m.options.Registered != nil {
+		m.options.Registered()
+	}
+}
+
 // step renews the lease, or registers the entry if it is not registered or was lost.
 func (a *announcement) step(ctx context.Context) error {
 	m := a.mirror
@@ -114,6 +143,7 @@
 		return err
 	}
 	a.registered, a.written = true, fgstore.Position{Era: lease.Era, Revision: written.Revision}
+	m.notifyRegistered()
 	m.options.Logger.Info("entry registered under a lease", "key", a.key, "lease", lease.ID, "ttl", lease.TTL.String(), "revision", written.Revision)
 	return nil
 }
--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgpath"
-	"github.com/filbertgap/filbertgap/internal/coordination/fgrelay"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
@@ -51,10 +51,6 @@
 	// lacks, and behind that position.
 	behindSince time.Time
 	behind      fgstore.Position
-	// sequences tells new states from old ones, and queue holds those to be passed
-	// on to other regions.
-	sequences fgrelay.Sequences
-	queue     fgrelay.Queue[*fgwire.GatewayState]
 }
 
 type peerState struct {
@@ -65,12 +61,14 @@
 	received time.Time
 	leaving  bool
 	// noPath means that the gateway does not reach the upstreams.
-	noPath   bool
+	noPath bool
+	// passesOn means that its version passes states on in the trees of its zone.
+	passesOn bool
 	position fgstore.Position
 }
 
 // exchange sends this gateway's state to the others until the context ends.
-func (g *Gateway) exchange(ctx context.Context, s *fggossip.Socket) error {
+func (g *Gateway) exchange(ctx context.Context) error {
 	last := time.Now()
 	var tracker overloadTracker
 	var room roomTracker
@@ -86,7 +84,7 @@
 			return ctx.Err()
 		case <-timer.C:
 		}
-		g.sendState(s, sequence, time.Since(last))
+		g.sendState(sequence, time.Since(last))
 		last = time.Now()
 		g.catchUp(ctx)
 		g.updateIsolated()
@@ -104,19 +102,18 @@
 }
 
 // sendState sends this gateway's state to the others.
-func (g *Gateway) sendState(s *fggossip.Socket, sequence uint64, elapsed time.Duration) {
+func (g *Gateway) sendState(sequence uint64, elapsed time.Duration) {
 	position := g.mirror.Position()
 	state := &fgwire.GatewayState{
 		Vm: g.settings.Self.VM, Incarnation: g.settings.Self.Incarnation, Sequence: sequence,
 		StoreEra: position.Era, StoreRevision: position.Revision, StoreAgeMs: g.mirror.Age().Milliseconds(), Leaving: g.leaving.Load(),
-		NoPath: g.path.Status() != fgpath.Open,
+		NoPath: g.path.Status() != fgpath.Open, PassesOn: true,
 	}
 	g.addRates(state, elapsed)
 	state.Crashes = g.crashReports()
 	state.Limits = g.limitReports()
-	p := g.updatePlan()
-	g.sendOwnState(s, state, p)
-	g.queueForRelay(state)
+	g.updateLayout()
+	g.sendOwnState(state)
 }
 
 // applyState applies the state of another gateway, which came directly from its peer
@@ -127,8 +124,6 @@
 	g.applyLimitReports(s.GetVm(), s.GetLimits())
 	g.applyLoadReports(s.GetLoads())
 	g.applyWaitingReports(s)
-	// A state that is passed on to other zones has neither.
-	s.Loads, s.Waiting = nil, nil
 	now := time.Now()
 	position := fgstore.Position{Era: s.GetStoreEra(), Revision: s.GetStoreRevision()}
 	g.mirror.RecordResponse(now.Add(-time.Duration(s.GetStoreAgeMs()) * time.Millisecond))
@@ -139,6 +134,7 @@
 		p.states = map[string]peerState{}
 		p.firstReceived = now
 	}
+	g.recordStep(stepPeerHeard)
 	old, ok := p.states[s.GetVm()]
 	if old.incarnation != s.GetIncarnation() {
 		g.crashes.RepeatReports()
@@ -149,7 +145,7 @@
 	if address == "" && old.incarnation == s.GetIncarnation() {
 		address = old.address
 	}
-	p.states[s.GetVm()] = peerState{incarnation: s.GetIncarnation(), address: address, received: now, leaving: s.GetLeaving(), noPath: s.GetNoPath(), position: position}
+	p.states[s.GetVm()] = peerState{incarnation: s.GetIncarnation(), address: address, received: now, leaving: s.GetLeaving(), noPath: s.GetNoPath(), passesOn: s.GetPassesOn(), position: position}
 	own := g.mirror.Position()
 	if !own.Before(p.behind) {
 		p.behindSince = time.Time{}
@@ -229,8 +225,8 @@
 		}
 		m, ok := p.registered[vm]
 		if !ok {
-			// In a large fleet, states come directly from the own region only.
-			m = fgsteer.MemberSpec{VM: vm, Region: self.Region}
+			// In a large fleet, most states that come directly are from the own zone.
+			m = fgsteer.MemberSpec{VM: vm, Region: self.Region, AvailabilityZone: self.AvailabilityZone}
 		}
 		known[vm] = m
 		m.Incarnation, m.PeerAddress = s.incarnation, s.address
@@ -308,11 +304,7 @@
 	if !own.Before(position) {
 		return
 	}
-	values := make([]fgstore.Value, len(response.GetEntries()))
-	for i, e := range response.GetEntries() {
-		values[i] = fgstore.Value{Key: e.GetKey(), Data: e.GetValue(), Revision: e.GetRevision()}
-	}
-	g.mirror.Replace(values, position, response.GetRecovering())
+	g.mirror.Replace(valuesOf(response), position, response.GetRecovering())
 	g.logger.Info("copy of the store fetched", "from", source, "era", position.Era, "revision", position.Revision, "wasEra", own.Era, "was", own.Revision, "storeAgeMs", g.mirror.Age().Milliseconds())
 }
 
@@ -324,6 +316,9 @@
 	return fgstore.Position{Era: m.GetEra(), Revision: m.GetRevision()}
 }
 
+// errBusy means that the gateway sends as many copies of the store as its link carries.
+var errBusy = merry.Sentinel("the gateway sends other copies of the store")
+
 // storeService serves calls of other gateways.
 type storeService struct{ gateway *Gateway }
 
@@ -338,6 +333,15 @@
 	for _, v := range values {
 		response.Entries = append(response.Entries, &fgwire.StoreEntry{Key: v.Key, Value: v.Data, Revision: v.Revision})
 	}
+	if r.GetCompressed() {
+		if data, err := s.gateway.compressedCopy.of(position, response.GetEntries()); err == nil {
+			response.Entries, response.Compressed = nil, data
+		}
+	}
+	// A copy for a gateway that lags behind is never refused.
+	if r.GetRevision() == 0 && !s.gateway.copyLimit.take(proto.Size(response), s.gateway.settings.Self.Capacity) {
+		return nil, errBusy
+	}
 	s.gateway.metrics.PeerBytes("copy", reachUnknown, proto.Size(response))
 	return response, nil
 }
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -132,7 +132,7 @@
 	metrics     *fgmetrics.Gateway
 	peers       peers
 	contacts    contacts
-	plan        atomic.Pointer[exchangePlan]
+	relay       relay
 	pool        fgpool.Pool
 	path        fgpath.Tracker
 	peerPool    fgpool.Pool
@@ -141,6 +141,10 @@
 	bounds      atomic.Pointer[Bounds]
 	leaving     atomic.Bool
 	started     time.Time
+	steps       startSteps
+	copyLimit   copyLimit
+	// compressedCopy is the last copy of the store that was sent to another gateway.
+	compressedCopy compressedCopy
 }
 
 // logSamplers limit the rate of log lines about requests.
@@ -196,7 +200,8 @@
 	g.pool.SetHooks(fgpool.Hooks{Dial: o.DialUpstream, Connected: g.observeConnection})
 	g.SetBounds(o.Settings.Bounds)
 	g.contacts.gateway = g
-	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.applyView, Contact: g.contacts.next})
+	g.relay.relay = newRelay(o.Settings.Self.VM)
+	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.applyView, Contact: g.contacts.next, Copy: g.startCopy, Registered: func() { g.recordStep(stepRegistered) }})
 	g.metrics = g.newMetrics()
 	return g
 }
@@ -250,6 +255,9 @@
 	g.balancer.Update(v)
 	g.admission.Update(v)
 	g.withdrawDrained(v)
+	if v.Policy() != nil {
+		g.recordStep(stepStoreRead)
+	}
 	g.path.SetUpstreams(countUpstreams(v))
 	// This VM may serve requests before its own entry is in the view.
 	vms := []string{g.settings.Self.VM}
@@ -323,9 +331,9 @@
 		{"callers", callers.serve},
 		{"ready", func(context.Context) error { return ready.Serve(g.sockets.ready) }},
 		{"look-ups", func(context.Context) error { return lookup.Serve(g.sockets.lookup) }},
-		{"exchange", func(ctx context.Context) error { return g.exchange(ctx, g.sockets.peers) }},
+		{"exchange", g.exchange},
 		{"peers", func(ctx context.Context) error { return g.sockets.peers.Receive(ctx, g.receiveState) }},
-		{"relay", g.relay},
+		{"relay", g.passOnStates},
 		{"peer calls", func(ctx context.Context) error { return g.sockets.peers.Serve(ctx, storeService{g}) }},
 		{"mirror", g.mirror.Run},
 		{"pool", g.pool.Run},
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -27,6 +27,7 @@
 	waits   *prometheus.HistogramVec
 	// withinRate counts refusals for a rate that its workspace did not exceed.
 	withinRate *prometheus.CounterVec
+	start      *prometheus.GaugeVec
 }
 
 // GatewayCallbacks holds functions that return the current values of metrics. They
@@ -72,6 +73,8 @@
 		seconds: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_second_sends_total",
 			Help: "Second sends of slow requests by group and how they ended, or why there was none."}, []string{"group", "end"}),
 	}
+	m.start = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_start_seconds",
+		Help: "Time from the start of the process to the end of each step of its start."}, []string{"step"})
 	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_admission_refused_total",
 		Help: "Requests refused for lack of room by priority and cause."}, []string{"priority", "cause"})
 	m.waiting = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_admission_waiting",
@@ -80,7 +83,7 @@
 		Help: "Time that requests waited for room by priority and how the wait ended.", Buckets: latencyBuckets}, []string{"priority", "end"})
 	m.withinRate = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_refused_within_rate_total",
 		Help: "Requests refused for the rate of a workspace that was within it."}, []string{"workspace"})
-	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.loads, m.placed, m.seconds, m.refused, m.waiting, m.waits, m.withinRate, roomCollector{c.GroupRoom},
+	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.loads, m.placed, m.seconds, m.refused, m.waiting, m.waits, m.withinRate, m.start, roomCollector{c.GroupRoom},
 		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return c.StoreAge().Seconds() }),
 		gauge("gateway_store_copy_age_seconds", "Time since the copy of the store was last known to hold all changes.", func() float64 { return c.StoreCopyAge().Seconds() }),
 		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(c.StoreRevision()) }),
@@ -125,6 +128,11 @@
 	m.peers.WithLabelValues(kind, reach).Add(float64(n))
 }
 
+// StartStep records how long after the start of the process a step of it ended.
+func (m *Gateway) StartStep(step string, took time.Duration) {
+	m.start.WithLabelValues(step).Set(took.Seconds())
+}
+
 // SendEnded records a send of a request to an upstream of a group.
 func (m *Gateway) SendEnded(group, result string) { m.sends.WithLabelValues(group, result).Inc() }
 
