--- a/internal/fggateway/contacts.go
+++ b/internal/fggateway/contacts.go
@@ -83,7 +83,7 @@
 		if m.VM == self.VM {
 			return fgsteer.MemberSpec{}
 		}
-		if time.Now().After(c.avoidUntil[m.VM]) {
+		if g.mayFollow(m.VM) && time.Now().After(c.avoidUntil[m.VM]) {
 			usable = append(usable, m)
 		}
 	}
