Send no quicker first states in fleets with trees

Cause: a fleet of 300 that starts together would send four times the states while copies of the store are sent. Change: only gateways with an interval below the longest send their first states quicker.

--- a/internal/fggateway/exchange.go
+++ b/internal/fggateway/exchange.go
@@ -26,7 +26,9 @@
 	exchangeBaseMembers = 10
 	maxExchangeInterval = 600 * time.Millisecond
 	// In its first startExchangeTime a gateway sends its state startExchangeFactor times as
-	// often. It spends little of rates until it and the others have heard each other.
+	// often. It spends little of rates until it and the others have heard each other. In a
+	// fleet with the longest interval, which passes states on in trees, it does not: states
+	// would fill the links when copies of the store are sent.
 	startExchangeTime   = 3 * time.Second
 	startExchangeFactor = 4
 	// minSilentTimeout is how long a gateway may be silent before look-ups omit it. It
@@ -74,7 +76,7 @@
 	var room roomTracker
 	for sequence := uint64(1); ; sequence++ {
 		interval := g.exchangeInterval()
-		if time.Since(g.started) < startExchangeTime {
+		if interval < maxExchangeInterval && time.Since(g.started) < startExchangeTime {
 			interval /= startExchangeFactor
 		}
 		timer := time.NewTimer(interval)
