Count a request once however often it is tried

A request that waits for room is tried every 20 ms and whenever a send ends. Each try counted its key's demand and, without a key, a refusal. 200 tries of one request divided its key between 8 upstreams, and their refusals lifted the bound on requests that run in other regions.

Criteria.Counted marks later tries, retries and second sends, which count no more. TestTriesCountOnce fails without it: 200 requests counted, 8 parts, bound lifted.

--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -231,6 +231,9 @@
 	Objective time.Duration
 	// Exclude lists the upstreams that the request was already sent to.
 	Exclude []*Upstream
+	// Counted means that an earlier Choose or Place has counted the request in the demand of
+	// its key and for other regions. A request that waits is tried many times a second.
+	Counted bool
 	// MaxLoadPerSlot is the load per slot at which an upstream takes no more
 	// requests. It applies if Accept is nil.
 	MaxLoadPerSlot float64
@@ -308,7 +311,7 @@
 		}
 		return Placement{Upstream: u, Expected: expected[i], other: u != preferred}, nil
 	}
-	if timed && len(c.Regions) == 0 && c.AffinityKey == "" {
+	if timed && len(c.Regions) == 0 && c.AffinityKey == "" && !c.Counted {
 		g.remote.record(false, true, now)
 	}
 	return Placement{}, ErrFull
--- a/internal/coordination/fgaffinity/hotkeys.go
+++ b/internal/coordination/fgaffinity/hotkeys.go
@@ -53,10 +53,7 @@
 	for i, k := range h.keys {
 		if k == key && h.counts[i] > 0 {
 			h.counts[i]++
-			if h.counts[i] < minHotRequests {
-				return 1
-			}
-			return min(max(1, h.counts[i]*upstreams/h.total), maxKeyParts)
+			return h.parts(i, upstreams)
 		}
 		if h.counts[i] < h.counts[lowest] {
 			lowest = i
@@ -70,6 +67,26 @@
 	return 1
 }
 
+// partsOf is count for a request that was counted before.
+func (h *hotKeys) partsOf(key uint64, upstreams int) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i, k := range h.keys {
+		if k == key && h.counts[i] > 0 {
+			return h.parts(i, upstreams)
+		}
+	}
+	return 1
+}
+
+// parts returns the number of upstreams for the key with an index. h.mu is held.
+func (h *hotKeys) parts(i, upstreams int) int {
+	if h.counts[i] < minHotRequests {
+		return 1
+	}
+	return min(max(1, h.counts[i]*upstreams/h.total), maxKeyParts)
+}
+
 // part returns the hash that ranks the upstreams for one of the parts of a hot key, which
 // is chosen at random. The first part has the hash of the key.
 func part(key uint64, parts int) uint64 {
--- a/internal/coordination/fgaffinity/hotkeys_test.go
+++ b/internal/coordination/fgaffinity/hotkeys_test.go
@@ -128,3 +128,39 @@
 		}
 	})
 }
+
+// Guards against a request that is tried many times while it waits, and makes its key hot or
+// lets more requests without a key run in other regions than the bound allows.
+func TestTriesCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := balancer("vm-0", view(upstreams(16)))
+		tellSlowdowns(b)
+		g := b.state.Load().groups["g"]
+		for range 200 {
+			time.Sleep(10 * time.Millisecond)
+			b.Done(choose(t, b, Criteria{Accept: func(*Upstream, Estimate) bool { return true }}), Answered)
+		}
+		g.remote.spent = 1
+		if _, err := b.Place(Criteria{Group: "g", AffinityKey: "k", Accept: func(*Upstream, Estimate) bool { return false }}); err == nil {
+			t.Fatal("got an upstream that was not accepted")
+		}
+		for range 200 {
+			time.Sleep(2 * time.Millisecond)
+			for _, key := range []string{"k", ""} {
+				c := Criteria{Group: "g", AffinityKey: key, Counted: true, Accept: func(*Upstream, Estimate) bool { return false }}
+				if _, err := b.Place(c); err == nil {
+					t.Fatal("got an upstream that was not accepted")
+				}
+			}
+		}
+		if got := g.hot.total; got != 1 {
+			t.Errorf("got %d requests counted, want 1", got)
+		}
+		if got := g.hot.partsOf(keyHash("k"), 16); got != 1 {
+			t.Errorf("got the key divided into %d parts", got)
+		}
+		if mayLeave, _ := g.remote.limits(); mayLeave {
+			t.Error("refused tries allow a request to leave its region")
+		}
+	})
+}
--- a/internal/coordination/fgaffinity/rank.go
+++ b/internal/coordination/fgaffinity/rank.go
@@ -290,7 +290,11 @@
 	if timed {
 		n = maxTimedCandidates
 	}
-	if timed && c.AffinityKey != "" {
+	switch {
+	case !timed || c.AffinityKey == "":
+	case c.Counted:
+		parts = g.hot.partsOf(key, len(g.upstreams))
+	default:
 		parts = g.hot.count(key, len(g.upstreams), int64(wall.Sub(b.epoch)))
 	}
 	for _, skipAvoided := range []bool{true, false} {
--- a/internal/fggateway/admission.go
+++ b/internal/fggateway/admission.go
@@ -95,6 +95,7 @@
 func (g *Gateway) choose(q *request) (fgaffinity.Placement, error) {
 	q.attempt.Reset()
 	p, err := g.balancer.Place(q.criteria())
+	q.counted = true
 	if q.attempt != nil && errors.Is(err, fgaffinity.ErrFull) {
 		if refused, ok := q.attempt.Decision().(fgadmission.Refuse); ok {
 			return fgaffinity.Placement{}, refused
--- a/internal/fggateway/admission_test.go
+++ b/internal/fggateway/admission_test.go
@@ -177,3 +177,19 @@
 	r.balancer.Done(u, fgaffinity.Left)
 	return u
 }
+
+// Guards against a request that the balancer counts each time that it is tried.
+func TestRequestIsCountedOnce(t *testing.T) {
+	env := newTestEnv(t)
+	env.upstream("u1", respond)
+	g := env.gateway("vm-1", 1)
+	q := &request{view: g.mirror.View(), route: &g.mirror.View().Policy().Routes()[0], group: "g"}
+	for i, want := range []bool{false, true, true} {
+		if got := q.criteria().Counted; got != want {
+			t.Errorf("try %d: got Counted %v, want %v", i, got, want)
+		}
+		if p, err := g.choose(q); err == nil {
+			g.release(q, p.Upstream)
+		}
+	}
+}
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -171,7 +171,7 @@
 // criteria returns the criteria by which the balancer chooses an upstream.
 func (q *request) criteria() fgaffinity.Criteria {
 	c := fgaffinity.Criteria{
-		Group: q.group, AffinityKey: q.affinityKey(), Regions: q.regions(), Objective: q.route.Objective, Exclude: q.chosen, MaxLoadPerSlot: maxLoadPerSlot,
+		Group: q.group, AffinityKey: q.affinityKey(), Regions: q.regions(), Objective: q.route.Objective, Exclude: q.chosen, Counted: q.counted, MaxLoadPerSlot: maxLoadPerSlot,
 	}
 	if q.attempt != nil {
 		c.Accept = q.attempt.Accept
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -41,6 +41,8 @@
 	// expected is what the balancer expects of the send that begins next. It is zero for an upstream
 	// that the watch for overdue responses has chosen.
 	expected fgaffinity.Estimate
+	// counted means that the balancer has counted the request.
+	counted bool
 	// mayHaveRun means that an upstream may have run the request.
 	mayHaveRun bool
 	sends      int
