Treat a request that has waited as new, and paused upstreams as restricted

A request whose wait had ended went on counting as one that waits: its retry did not see a full queue, and took only its gateway's part of free slots. Restricted did not name leaving and paused upstreams, as its users document; they were left out by the ranking only.

TestQueueBounds and TestPause check both, and fail without the change. Comments are wrapped, and that of upstreamSend names the fields that exchange sets.

--- a/internal/coordination/fgadmission/queue.go
+++ b/internal/coordination/fgadmission/queue.go
@@ -117,10 +117,11 @@
 	c.maxBytes = n
 }
 
-// Wait blocks a request of a number of bytes, about which wait was decided, until try has placed it, or has found that it
-// need not wait on. try is called by one goroutine at a time, when there may be room and
-// the requests before it were tried. Wait returns a Refuse if the request must leave the
-// queue for another reason, and the error of ctx if its caller has left.
+// Wait blocks a request of a number of bytes, about which wait was decided, until try has
+// placed it, or has found that it need not wait on. try is called by one goroutine at a
+// time, when there may be room and the requests before it were tried. Wait returns a Refuse
+// if the request must leave the queue for another reason, and the error of ctx if its caller
+// has left.
 func (c *Controller) Wait(ctx context.Context, a *Attempt, wait Wait, bytes int64, try func() Outcome) error {
 	w := &waiter{attempt: a, bytes: bytes, try: try, ended: make(chan struct{})}
 	c.mu.Lock()
@@ -154,6 +155,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	g.queue.remove(w)
+	a.waits = false
 	return w.refused
 }
 
--- a/internal/coordination/fgadmission/queue_test.go
+++ b/internal/coordination/fgadmission/queue_test.go
@@ -192,6 +192,11 @@
 				if len(q.placed) != tt.want {
 					t.Errorf("got %d requests placed, want %d", len(q.placed), tt.want)
 				}
+				// A retry of a request that has waited competes as a new request.
+				q.Stop()
+				if !waiting.competition(fgaffinity.Estimate{}, now).QueueFull {
+					t.Error("a request whose wait has ended counts as one that waits")
+				}
 			})
 		})
 	}
--- a/internal/coordination/fgaffinity/signals_test.go
+++ b/internal/coordination/fgaffinity/signals_test.go
@@ -64,7 +64,7 @@
 			if !b.RecordPause(u, 2*time.Second) || b.RecordPause(u, time.Second) {
 				t.Error("the pause is not new, or a shorter one is")
 			}
-			if spec := u.Spec(); !b.Forbids(spec.ID, spec.Address) {
+			if spec := u.Spec(); !b.Forbids(spec.ID, spec.Address) || !b.Restricted(u) {
 				t.Error("requests that were chosen before the pause may be sent")
 			}
 			for range 4 {
--- a/internal/coordination/fgaffinity/upstream.go
+++ b/internal/coordination/fgaffinity/upstream.go
@@ -297,12 +297,12 @@
 	return true
 }
 
-// Restricted reports whether an upstream should get only requests that need it: it is cold
-// or leaving, names a limit, or is avoided after failures.
+// Restricted reports whether an upstream should get only requests that need it: it is cold,
+// draining, leaving or paused, names a limit, or is avoided after failures.
 func (b *Balancer) Restricted(u *Upstream) bool {
 	wall := time.Now()
 	now := int64(wall.Sub(b.epoch))
-	return u.isCold(wall, now) || u.Spec().Draining || u.limit.set.Load() || u.avoided(now)
+	return u.isCold(wall, now) || u.Spec().Draining || u.signals.forbid(now) || u.limit.set.Load() || u.avoided(now)
 }
 
 // HasReported reports whether the upstream's load was ever reported.
--- a/internal/fggateway/detour.go
+++ b/internal/fggateway/detour.go
@@ -43,9 +43,9 @@
 func (detour) isWay() {}
 
 // chooseWay returns the way of the next send, after a wait for room if the group lacks it.
-// The wait ends with ctx. reserved is the upstream that was chosen for
-// it before, or nil; it is released if the request goes another way. unreached is the
-// number of upstreams that could not be reached for this request.
+// The wait ends with ctx. reserved is the upstream that was chosen for it before, or nil; it
+// is released if the request goes another way. unreached is the number of upstreams that
+// could not be reached for this request.
 func (g *Gateway) chooseWay(ctx context.Context, q *request, reserved *fgaffinity.Upstream, unreached int) (way, error) {
 	status := g.path.Status()
 	var peer fgsteer.MemberSpec
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -30,7 +30,8 @@
 	// another program has, are skipped for one request.
 	maxUnreached = 3
 	// maxLoadPerSlot is the load per slot at which an upstream gets no more requests, in
-	// groups about which fgadmission does not decide. Requests that queue at an upstream are late and delay all later ones.
+	// groups about which fgadmission does not decide. Requests that queue at an upstream are
+	// late and delay all later ones.
 	maxLoadPerSlot = 1.5
 	// bufferedBytes of a response are read before its first byte is passed on, so
 	// that the request can be retried if the response is truncated.
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -38,8 +38,8 @@
 	reserved int64
 	// chosen lists the upstreams chosen for the sends of the request, in order.
 	chosen []*fgaffinity.Upstream
-	// expected is what the balancer expects of the send that begins next. It is zero for an upstream
-	// that the watch for overdue responses has chosen.
+	// expected is what the balancer expects of the send that begins next. It is zero for an
+	// upstream that the watch for overdue responses has chosen.
 	expected fgaffinity.Estimate
 	// counted means that the balancer has counted the request.
 	counted bool
--- a/internal/fggateway/send.go
+++ b/internal/fggateway/send.go
@@ -10,8 +10,8 @@
 	"github.com/filbertgap/filbertgap/internal/transport/fgpool"
 )
 
-// upstreamSend is one send of a request to an upstream. Its fields after cancel are set by
-// exchange.
+// upstreamSend is one send of a request to an upstream. The fields from meta to next are set
+// by exchange.
 type upstreamSend struct {
 	upstream *fgaffinity.Upstream
 	// expected is what the balancer expects of the send. It is zero for an upstream that
