Do not require requests to leave a region while the others are full

Requests without a key run in other regions in a part that changes slowly in both directions. While more of them had to leave than did, only upstreams of other regions were ranked. Where those were full, all were refused though the own region had free slots, and as a refusal counts as demand for other regions, it did not end.

Upstreams of other regions are required only if one of the sampled ones has a free slot. TestFullRegionsAreNotRequired fails without it.

--- a/internal/coordination/fgaffinity/hotkeys_test.go
+++ b/internal/coordination/fgaffinity/hotkeys_test.go
@@ -164,3 +164,28 @@
 		}
 	})
 }
+
+// Guards against requests without a key that are refused because they have to run in other
+// regions, which are full, while their own region has free slots.
+func TestFullRegionsAreNotRequired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(Options{VM: "vm-0", Region: "east", AvailabilityZone: "east-a"})
+		b.Update(view(upstreams(16)))
+		g := b.state.Load().groups["g"]
+		for _, u := range g.upstreams {
+			load := 0
+			if u.Spec().Region != b.options.Region {
+				load = 4 * u.Spec().Slots
+			}
+			b.RecordReport(u, Report{Load: load, Slowdown: 1})
+		}
+		g.remote.level, g.remote.demand, g.remote.owed = 0.5, 0.5, 1
+		for range 20 {
+			u := choose(t, b, Criteria{MaxLoadPerSlot: testMaxLoad})
+			if u.Spec().Region != b.options.Region {
+				t.Errorf("got the full upstream %s", u.Spec().ID)
+			}
+			b.Done(u, Answered)
+		}
+	})
+}
--- a/internal/coordination/fgaffinity/rank.go
+++ b/internal/coordination/fgaffinity/rank.go
@@ -254,6 +254,10 @@
 	}
 	if mustLeave {
 		r.sample(remoteProximity)
+		if !r.hasFreeSlot() {
+			// Other regions are full: the request may run in its own one.
+			mustLeave, r.best.count = false, 0
+		}
 	}
 	for p := range r.group.nearby {
 		if p == remoteProximity && (mustLeave || !mayLeave && r.best.count > 0) || mustLeave && r.best.count > 0 {
@@ -263,6 +267,16 @@
 	}
 }
 
+// hasFreeSlot reports whether one of the best upstreams probably has a free slot.
+func (r *ranking) hasFreeSlot() bool {
+	for _, c := range r.best.ranked[:r.best.count] {
+		if r.balancer.estimate(r.group, c.upstream, keylessRun, r.wall).LoadPerSlot < 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // sample ranks some of the upstreams of a proximity by the expected time.
 func (r *ranking) sample(p int) {
 	if list := r.group.nearby[p]; len(list) > 0 {
