Do not send an overdue request again that has crashed several upstreams

The crash check came before retries of failed sends only. A send that was abandoned because its response was overdue, and one whose upstream was unreachable, was followed by another without it. The check now comes before every further send; the upstream that was reserved is released.

TestOverdueCrashingRequestIsNotSentAgain fails without it: 2 requests arrived, with second sends off and on.

--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -109,6 +109,9 @@
 			return
 		}
 		next, refused = o.next, o.refusal
+		if g.refuseCrashing(r, q) != nil {
+			break
+		}
 		if o.result == fgaffinity.Unreached || o.result == fgaffinity.Replaced {
 			if unreached++; unreached <= maxUnreached {
 				continue
@@ -118,7 +121,7 @@
 		if next != nil {
 			continue
 		}
-		if o.final || ctx.Err() != nil || !g.mayRetry(q) || g.refuseCrashing(r, q) != nil || !g.retryBudget.TakeRetry(q.group) {
+		if o.final || ctx.Err() != nil || !g.mayRetry(q) || !g.retryBudget.TakeRetry(q.group) {
 			break
 		}
 	}
--- a/internal/fggateway/hedge_test.go
+++ b/internal/fggateway/hedge_test.go
@@ -426,3 +426,35 @@
 		h.mu.Unlock()
 	}
 }
+
+// Guards against a send in place of an overdue one of a request that has crashed several
+// upstreams meanwhile, and an upstream that stays reserved for it.
+func TestOverdueCrashingRequestIsNotSentAgain(t *testing.T) {
+	for _, limit := range []float64{0, 0.2} {
+		h := newHedgeEnv(t, 3, limit)
+		h.first = func(w http.ResponseWriter, r *http.Request) {
+			for _, u := range h.upstreams() {
+				for range 2 {
+					h.gateway.balancer.RecordOverdue(u)
+				}
+			}
+			hash := fgsuspect.RequestHash(http.MethodGet, "/read/x", "w", []byte("body"))
+			for i := range 4 {
+				h.gateway.crashes.BeginCheck(hash, fmt.Sprintf("10.0.0.%d:80", i), time.Now()).Crashed()
+			}
+			block(h.firstGone)(w, r)
+		}
+		h.second = respond
+		if res := h.gateway.mustCall(t, http.MethodGet, "/read/x"); res.status != http.StatusGatewayTimeout {
+			t.Errorf("limit %.1f: got %+v, want that the request may have run", limit, res)
+		}
+		if n := len(h.arrivals()); n != 1 {
+			t.Errorf("limit %.1f: %d requests arrived, want 1", limit, n)
+		}
+		for _, u := range h.upstreams() {
+			if n := u.InFlight(); n != 0 {
+				t.Errorf("limit %.1f: %d requests count as in flight", limit, n)
+			}
+		}
+	}
+}
