--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -124,6 +124,8 @@
 	isolated atomic.Bool
 	// rtt is the round-trip time to another region in nanoseconds.
 	rtt atomic.Int64
+	// signals holds the upstreams that leave or pause.
+	signals signalTable
 
 	mu        sync.Mutex
 	upstreams map[string]*Upstream
@@ -206,6 +208,7 @@
 		g.cache = newRankCache(g.classes, len(g.upstreams))
 		s.groups[name] = g
 	}
+	b.signals.update(known)
 	b.upstreams = known
 	b.state.Store(s)
 }
@@ -228,6 +231,9 @@
 	Objective time.Duration
 	// Exclude lists the upstreams that the request was already sent to.
 	Exclude []*Upstream
+	// Counted means that an earlier Choose or Place has counted the request in the demand of
+	// its key and for other regions. A request that waits is tried many times a second.
+	Counted bool
 	// MaxLoadPerSlot is the load per slot at which an upstream takes no more
 	// requests. It applies if Accept is nil.
 	MaxLoadPerSlot float64
@@ -267,6 +273,9 @@
 	key, timed := keyHash(c.AffinityKey), b.isTimed(g, now)
 	best := b.rank(s, g, c, key, timed, wall)
 	if best.count == 0 && !best.limited {
+		if err := b.Available(c); err != nil {
+			return Placement{}, err
+		}
 		return Placement{}, ErrNoUpstream
 	}
 	var expected [maxTimedCandidates]Estimate
@@ -302,7 +311,7 @@
 		}
 		return Placement{Upstream: u, Expected: expected[i], other: u != preferred}, nil
 	}
-	if timed && len(c.Regions) == 0 && c.AffinityKey == "" {
+	if timed && len(c.Regions) == 0 && c.AffinityKey == "" && !c.Counted {
 		g.remote.record(false, true, now)
 	}
 	return Placement{}, ErrFull
--- a/internal/fggateway/admission_test.go
+++ b/internal/fggateway/admission_test.go
@@ -46,7 +46,7 @@
 				respond(rw, r)
 			})
 			g := env.gateway("vm-1", 1)
-			g.admission.SetLoadAware(true)
+			g.admission.SetSharedGroups(true)
 			writes := 0
 			write := func() {
 				if res := g.mustCall(t, http.MethodPut, "/write/x"); res.status == http.StatusOK {
@@ -116,7 +116,7 @@
 			env.putPolicy()
 			env.upstream("u1", respond)
 			g := env.gateway("vm-1", 1)
-			g.admission.SetLoadAware(true)
+			g.admission.SetSharedGroups(true)
 			now := time.Now()
 			q := &request{view: g.mirror.View(), route: &g.mirror.View().Policy().Routes()[0], group: "g", start: now, deadline: now.Add(time.Minute)}
 			q.attempt = g.beginAdmission(q)
@@ -177,3 +177,19 @@
 	r.balancer.Done(u, fgaffinity.Left)
 	return u
 }
+
+// Guards against a request that the balancer counts each time that it is tried.
+func TestRequestIsCountedOnce(t *testing.T) {
+	env := newTestEnv(t)
+	env.upstream("u1", respond)
+	g := env.gateway("vm-1", 1)
+	q := &request{view: g.mirror.View(), route: &g.mirror.View().Policy().Routes()[0], group: "g"}
+	for i, want := range []bool{false, true, true} {
+		if got := q.criteria().Counted; got != want {
+			t.Errorf("try %d: got Counted %v, want %v", i, got, want)
+		}
+		if p, err := g.choose(q); err == nil {
+			g.release(q, p.Upstream)
+		}
+	}
+}
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -30,7 +30,8 @@
 	// another program has, are skipped for one request.
 	maxUnreached = 3
 	// maxLoadPerSlot is the load per slot at which an upstream gets no more requests, in
-	// groups about which fgadmission does not decide. Requests that queue at an upstream are late and delay all later ones.
+	// groups about which fgadmission does not decide. Requests that queue at an upstream are
+	// late and delay all later ones.
 	maxLoadPerSlot = 1.5
 	// bufferedBytes of a response are read before its first byte is passed on, so
 	// that the request can be retried if the response is truncated.
@@ -108,6 +109,9 @@
 			return
 		}
 		next, refused = o.next, o.refusal
+		if g.refuseCrashing(r, q) != nil {
+			break
+		}
 		if o.result == fgaffinity.Unreached || o.result == fgaffinity.Replaced {
 			if unreached++; unreached <= maxUnreached {
 				continue
@@ -117,7 +121,7 @@
 		if next != nil {
 			continue
 		}
-		if o.final || ctx.Err() != nil || !g.mayRetry(q) || g.refuseCrashing(r, q) != nil || !g.retryBudget.TakeRetry(q.group) {
+		if o.final || ctx.Err() != nil || !g.mayRetry(q) || !g.retryBudget.TakeRetry(q.group) {
 			break
 		}
 	}
@@ -127,6 +131,7 @@
 		g.finishRequest(q, statusCallerLeft, codeCallerLeft, "the caller disconnected", "")
 		abortResponse(r)
 	}
+	g.delayRetry(q, refused)
 	g.refuse(w, q, refused)
 }
 
@@ -170,7 +175,7 @@
 // criteria returns the criteria by which the balancer chooses an upstream.
 func (q *request) criteria() fgaffinity.Criteria {
 	c := fgaffinity.Criteria{
-		Group: q.group, AffinityKey: q.affinityKey(), Regions: q.regions(), Objective: q.route.Objective, Exclude: q.chosen, MaxLoadPerSlot: maxLoadPerSlot,
+		Group: q.group, AffinityKey: q.affinityKey(), Regions: q.regions(), Objective: q.route.Objective, Exclude: q.chosen, Counted: q.counted, MaxLoadPerSlot: maxLoadPerSlot,
 	}
 	if q.attempt != nil {
 		c.Accept = q.attempt.Accept
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -67,7 +67,11 @@
 	// MaxExtraRequests limits the second sends of slow requests, as a part of the requests
 	// of each group. Zero means none.
 	MaxExtraRequests float64
-	Bounds           Bounds
+	// AdmitSharedGroups means that requests of groups that routes of different priority share
+	// are admitted by urgency, and not only those of groups whose upstreams tell how slow
+	// they are.
+	AdmitSharedGroups bool
+	Bounds            Bounds
 }
 
 // Bounds are the limits that the platform sets for a gateway. They may change while
@@ -89,9 +93,8 @@
 	// RateSlack is the number of requests by which a workspace may exceed its rate
 	// in a window.
 	RateSlack int
-	// LoadAware means that upstreams of all groups are chosen by expected time, and that
-	// requests of groups that routes of different priority share are admitted by urgency.
-	// Without it, both apply only to groups whose upstreams tell how slow they are.
+	// LoadAware means that upstreams of all groups are chosen by expected time, and not only
+	// those of groups whose upstreams tell how slow they are.
 	LoadAware bool
 }
 
@@ -120,6 +123,7 @@
 	logger      logr.Logger
 	mirror      *fgmirror.Mirror
 	balancer    *fgaffinity.Balancer
+	drained     drained
 	groups      fgaffinity.GroupSelector
 	retryBudget fgaffinity.RetryBudget
 	admission   fgadmission.Controller
@@ -132,7 +136,7 @@
 	metrics     *fgmetrics.Gateway
 	peers       peers
 	contacts    contacts
-	plan        atomic.Pointer[exchangePlan]
+	relay       relay
 	pool        fgpool.Pool
 	path        fgpath.Tracker
 	peerPool    fgpool.Pool
@@ -141,6 +145,10 @@
 	bounds      atomic.Pointer[Bounds]
 	leaving     atomic.Bool
 	started     time.Time
+	steps       startSteps
+	copyLimit   copyLimit
+	// compressedCopy is the last copy of the store that was sent to another gateway.
+	compressedCopy compressedCopy
 }
 
 // logSamplers limit the rate of log lines about requests.
@@ -193,10 +201,12 @@
 	g.admission.SetMaxBytes(g.bodies.limit / waitingMemoryDivisor)
 	g.pool.SetMaxHeadBytes(o.Settings.MaxResponseHeaderBytes)
 	g.hedges.SetLimit(o.Settings.MaxExtraRequests)
+	g.admission.SetSharedGroups(o.Settings.AdmitSharedGroups)
 	g.pool.SetHooks(fgpool.Hooks{Dial: o.DialUpstream, Connected: g.observeConnection})
 	g.SetBounds(o.Settings.Bounds)
 	g.contacts.gateway = g
-	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.applyView, Contact: g.contacts.next})
+	g.relay.relay = newRelay(o.Settings.Self.VM)
+	g.mirror = fgmirror.New(fgmirror.Options{Feed: o.Feed, Codec: o.Codec, Logger: o.Logger, Publish: g.applyView, Contact: g.contacts.next, Copy: g.startCopy, Registered: func() { g.recordStep(stepRegistered) }})
 	g.metrics = g.newMetrics()
 	return g
 }
@@ -212,6 +222,7 @@
 		ConnectionsNotReset: func() int64 { return g.pool.NotReset() + g.peerPool.NotReset() }, DroppedLines: dropped,
 		CallerConnections: func() int64 { return g.sockets.callers.Accepted() },
 		LimitedUpstreams:  g.balancer.LimitedUpstreams,
+		SignalCounts:      g.balancer.SignalCounts,
 		GroupRoom:         g.groupRoom,
 		PathStatus:        func() int { return int(g.path.Status()) },
 		PolicyVersion: func() int64 {
@@ -242,7 +253,6 @@
 	g.retryBudget.SetBounds(b.RepeatRatio, b.RepeatExtra, b.RepeatWindow)
 	g.limiter.SetSlack(b.RateSlack)
 	g.balancer.SetLoadAware(b.LoadAware)
-	g.admission.SetLoadAware(b.LoadAware)
 }
 
 // applyView applies a new view.
@@ -250,6 +260,9 @@
 	g.balancer.Update(v)
 	g.admission.Update(v)
 	g.withdrawDrained(v)
+	if v.Policy() != nil {
+		g.recordStep(stepStoreRead)
+	}
 	g.path.SetUpstreams(countUpstreams(v))
 	// This VM may serve requests before its own entry is in the view.
 	vms := []string{g.settings.Self.VM}
@@ -323,9 +336,9 @@
 		{"callers", callers.serve},
 		{"ready", func(context.Context) error { return ready.Serve(g.sockets.ready) }},
 		{"look-ups", func(context.Context) error { return lookup.Serve(g.sockets.lookup) }},
-		{"exchange", func(ctx context.Context) error { return g.exchange(ctx, g.sockets.peers) }},
+		{"exchange", g.exchange},
 		{"peers", func(ctx context.Context) error { return g.sockets.peers.Receive(ctx, g.receiveState) }},
-		{"relay", g.relay},
+		{"relay", g.passOnStates},
 		{"peer calls", func(ctx context.Context) error { return g.sockets.peers.Serve(ctx, storeService{g}) }},
 		{"mirror", g.mirror.Run},
 		{"pool", g.pool.Run},
--- a/internal/fggateway/loads.go
+++ b/internal/fggateway/loads.go
@@ -4,10 +4,12 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
-	"github.com/filbertgap/filbertgap/internal/transport/fggossip"
+	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 )
 
 // recordLoad records the load that a response names.
@@ -23,17 +25,30 @@
 
 // sendOwnState sends this gateway's state to the others. Only those of the own
 // availability zone get the loads and the waiting requests, since bytes between zones are expensive.
-func (g *Gateway) sendOwnState(s *fggossip.Socket, state *fgwire.GatewayState, p *exchangePlan) {
+func (g *Gateway) sendOwnState(state *fgwire.GatewayState) {
+	g.relay.mu.Lock()
+	to, wrapped := g.relay.relay.Own(state)
+	g.relay.mu.Unlock()
+	defer g.sendAll(wrapped)
 	loads, waiting := g.loadReports(), g.waitingReports()
 	if len(loads) == 0 && len(waiting) == 0 {
-		g.sendToPeers("state", s, state, p.peers)
+		g.sendToPeers("state", state, to)
 		return
 	}
-	g.sendToPeers("state", s, state, p.otherZones)
+	var ownZone, otherZones []fgsteer.MemberSpec
+	for _, m := range to {
+		if m.Region == g.settings.Self.Region && m.AvailabilityZone == g.settings.Self.AvailabilityZone {
+			ownZone = append(ownZone, m)
+		} else {
+			otherZones = append(otherZones, m)
+		}
+	}
+	g.sendToPeers("state", state, otherZones)
 	g.metrics.LoadReports("out", len(loads))
-	state.Loads, state.Waiting = loads, waiting
-	g.sendToPeers("state", s, state, p.ownZone)
-	state.Loads, state.Waiting = nil, nil
+	// The relay keeps the state without them, and may be sending it.
+	zoneState := proto.CloneOf(state)
+	zoneState.Loads, zoneState.Waiting = loads, waiting
+	g.sendToPeers("state", zoneState, ownZone)
 }
 
 // loadReports returns the loads to report to the gateways of the zone.
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -38,9 +38,11 @@
 	reserved int64
 	// chosen lists the upstreams chosen for the sends of the request, in order.
 	chosen []*fgaffinity.Upstream
-	// expected is what the balancer expects of the send that begins next. It is zero for an upstream
-	// that the watch for overdue responses has chosen.
+	// expected is what the balancer expects of the send that begins next. It is zero for an
+	// upstream that the watch for overdue responses has chosen.
 	expected fgaffinity.Estimate
+	// counted means that the balancer has counted the request.
+	counted bool
 	// mayHaveRun means that an upstream may have run the request.
 	mayHaveRun bool
 	sends      int
@@ -251,6 +253,9 @@
 		routeName = q.route.Name
 	}
 	g.metrics.RequestEnded(routeName, string(c), took)
+	if c == codeAnswered {
+		g.recordStep(stepRequest)
+	}
 	skipped, ok := g.logSamplers.forCode(c).Allow(q.start)
 	if !ok {
 		return
--- a/internal/fgmetrics/gateway.go
+++ b/internal/fgmetrics/gateway.go
@@ -27,19 +27,22 @@
 	waits   *prometheus.HistogramVec
 	// withinRate counts refusals for a rate that its workspace did not exceed.
 	withinRate *prometheus.CounterVec
+	start      *prometheus.GaugeVec
 }
 
 // GatewayCallbacks holds functions that return the current values of metrics. They
 // are called at each scrape.
 type GatewayCallbacks struct {
-	StoreAge          func() time.Duration
-	StoreCopyAge      func() time.Duration
-	StoreRevision     func() uint64
-	StoreEra          func() uint64
-	PolicyVersion     func() int64
-	Members           func() int
-	Upstreams         func() int
-	LimitedUpstreams  func() int
+	StoreAge         func() time.Duration
+	StoreCopyAge     func() time.Duration
+	StoreRevision    func() uint64
+	StoreEra         func() uint64
+	PolicyVersion    func() int64
+	Members          func() int
+	Upstreams        func() int
+	LimitedUpstreams func() int
+	// SignalCounts returns the numbers of upstreams that leave and that pause.
+	SignalCounts      func() (leaving, paused int)
 	PathStatus        func() int
 	ConnectionsOpened func() int64
 	ConnectionsReused func() int64
@@ -72,6 +75,8 @@
 		seconds: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_second_sends_total",
 			Help: "Second sends of slow requests by group and how they ended, or why there was none."}, []string{"group", "end"}),
 	}
+	m.start = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_start_seconds",
+		Help: "Time from the start of the process to the end of each step of its start."}, []string{"step"})
 	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_admission_refused_total",
 		Help: "Requests refused for lack of room by priority and cause."}, []string{"priority", "cause"})
 	m.waiting = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_admission_waiting",
@@ -80,7 +85,7 @@
 		Help: "Time that requests waited for room by priority and how the wait ended.", Buckets: latencyBuckets}, []string{"priority", "end"})
 	m.withinRate = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_refused_within_rate_total",
 		Help: "Requests refused for the rate of a workspace that was within it."}, []string{"workspace"})
-	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.loads, m.placed, m.seconds, m.refused, m.waiting, m.waits, m.withinRate, roomCollector{c.GroupRoom},
+	m.registry.MustRegister(m.requests, m.latency, m.sends, m.peers, m.detours, m.loads, m.placed, m.seconds, m.refused, m.waiting, m.waits, m.withinRate, m.start, roomCollector{c.GroupRoom},
 		gauge("gateway_store_age_seconds", "Time since the platform's store last answered.", func() float64 { return c.StoreAge().Seconds() }),
 		gauge("gateway_store_copy_age_seconds", "Time since the copy of the store was last known to hold all changes.", func() float64 { return c.StoreCopyAge().Seconds() }),
 		gauge("gateway_store_revision", "Revision of the store that is in force here.", func() float64 { return float64(c.StoreRevision()) }),
@@ -89,6 +94,8 @@
 		gauge("gateway_members", "Registered gateways.", func() float64 { return float64(c.Members()) }),
 		gauge("gateway_upstreams", "Upstreams that may get requests.", func() float64 { return float64(c.Upstreams()) }),
 		gauge("gateway_upstreams_limited", "Upstreams that name a limit in their responses.", func() float64 { return float64(c.LimitedUpstreams()) }),
+		gauge("gateway_upstreams_leaving", "Upstreams that have said that they leave.", func() float64 { leaving, _ := c.SignalCounts(); return float64(leaving) }),
+		gauge("gateway_upstreams_paused", "Upstreams that have refused a request and want none for a while.", func() float64 { _, paused := c.SignalCounts(); return float64(paused) }),
 		gauge("gateway_upstream_path", "Path to the upstreams: 0 open, 1 no new connections, 2 lost.", func() float64 { return float64(c.PathStatus()) }),
 		counter("gateway_connections_opened_total", "Connections opened to upstreams.", c.ConnectionsOpened),
 		counter("gateway_connections_reused_total", "Requests sent over a kept connection.", c.ConnectionsReused),
@@ -125,6 +132,11 @@
 	m.peers.WithLabelValues(kind, reach).Add(float64(n))
 }
 
+// StartStep records how long after the start of the process a step of it ended.
+func (m *Gateway) StartStep(step string, took time.Duration) {
+	m.start.WithLabelValues(step).Set(took.Seconds())
+}
+
 // SendEnded records a send of a request to an upstream of a group.
 func (m *Gateway) SendEnded(group, result string) { m.sends.WithLabelValues(group, result).Inc() }
 
