--- a/internal/coordination/fgaffinity/balancer.go
+++ b/internal/coordination/fgaffinity/balancer.go
@@ -202,7 +202,7 @@
 				s.reporters[uint32(u.instance)] = u
 			}
 		}
-		if g.tellsSlowdown(int64(now.Sub(b.epoch))) {
+		if b.isTimed(g, int64(now.Sub(b.epoch))) {
 			g.regionWeights.admitSlots()
 		}
 		g.cache = newRankCache(g.classes, len(g.upstreams))
--- a/internal/transport/fgpool/exchange.go
+++ b/internal/transport/fgpool/exchange.go
@@ -15,11 +15,16 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// acknowledgeTimeout is how long an upstream has to acknowledge a withdrawn request. It
-// is longer than a round trip between regions and the shortest retransmission timeout of
-// TCP (200 ms), and leaves 0.2 s of the 0.5 s after which nothing may reach an upstream
-// for a caller that has left.
-const acknowledgeTimeout = 300 * time.Millisecond
+const (
+	// abandonTimeout is how long an upstream has to acknowledge a request whose caller has
+	// left. It is longer than a round trip between regions, and leaves 0.2 s of the 0.5 s
+	// after which nothing may reach an upstream for such a caller.
+	abandonTimeout = 300 * time.Millisecond
+	// withdrawTimeout is the same for a request that Withdraw ends. A large body on a slow
+	// link takes longer than abandonTimeout, and its caller still waits. It ends well before
+	// a drained upstream may get nothing more, 2.5 s after the drain at the earliest.
+	withdrawTimeout = 1500 * time.Millisecond
+)
 
 // Request is a request to an upstream.
 type Request struct {
@@ -74,6 +79,7 @@
 	// allWritten and responded mean that the whole request was written, and that the
 	// head of the response was read.
 	allWritten, responded atomic.Bool
+	abandonOnce           sync.Once
 	withdrawOnce          sync.Once
 
 	mu sync.Mutex
@@ -89,7 +95,7 @@
 	x := &exchange{pool: p, target: t, cancel: cancel, release: func() bool { return true }}
 	p.add(x)
 	if r.Abandoned != nil {
-		x.release = context.AfterFunc(r.Abandoned, x.withdraw)
+		x.release = context.AfterFunc(r.Abandoned, x.abandon)
 	}
 	c, err := p.connect(ctx, t)
 	if err != nil {
@@ -98,7 +104,7 @@
 	}
 	if r.Abandoned != nil && r.Abandoned.Err() != nil {
 		// The function registered above may not have run yet.
-		x.withdraw()
+		x.abandon()
 	}
 	stop := context.AfterFunc(ctx, func() { c.end(false) })
 	rs := &Response{exchange: x, conn: c, stop: stop}
@@ -157,7 +163,7 @@
 
 // Withdraw ends the exchanges with the targets that match and whose requests have not
 // reached the upstream: those that have not been written at once, and after
-// acknowledgeTimeout those without a response that are not written or not acknowledged
+// withdrawTimeout those without a response that are not written or not acknowledged
 // completely. Until the next call, no request is sent to targets that match: Send may
 // have been called for one that was chosen before. Nil matches none.
 func (p *Pool) Withdraw(match func(Target) bool) {
@@ -174,17 +180,23 @@
 	}
 }
 
-// withdraw ends the exchange unless its request has reached the upstream.
-func (x *exchange) withdraw() {
-	x.withdrawOnce.Do(func() {
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		if x.conn == nil {
-			x.cancel(merry.Wrap(ErrWithdrawn))
-			return
-		}
-		time.AfterFunc(acknowledgeTimeout, x.endUnacknowledged)
-	})
+// abandon ends the exchange, whose caller has left, unless its request has reached the
+// upstream.
+func (x *exchange) abandon() { x.abandonOnce.Do(func() { x.endAfter(abandonTimeout) }) }
+
+// withdraw is abandon for a request whose caller still waits.
+func (x *exchange) withdraw() { x.withdrawOnce.Do(func() { x.endAfter(withdrawTimeout) }) }
+
+// endAfter ends the exchange at once if nothing was written, and otherwise after a time
+// unless its request has reached the upstream by then.
+func (x *exchange) endAfter(d time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn == nil {
+		x.cancel(merry.Wrap(ErrWithdrawn))
+		return
+	}
+	time.AfterFunc(d, x.endUnacknowledged)
 }
 
 // endUnacknowledged ends the exchange if it has no response and the upstream has not
