--- a/internal/coordination/fgadmission/decision.go
+++ b/internal/coordination/fgadmission/decision.go
@@ -17,8 +17,7 @@
 	// several gateways may send to it between two reports of its load.
 	maxUrgentLoad = 2
 	// refusedMargin bounds the margin of a kind that is itself refused in part, which a longer
-	// queue only makes late. Without it, 0.25 to 0.26 of the responses were late in a replay
-	// whose urgent kind alone asks for 1.6 of the slots, and 0.21 to 0.25 with it.
+	// queue only makes late.
 	refusedMargin = 0.5
 	// unknownLoadLimit is the load per slot at which an upstream without a recent report
 	// gets no more requests. It is the limit of groups without admission.
@@ -32,9 +31,7 @@
 	// requests: with 10% blocked, it grows by 0.4.
 	marginGain = 4
 	// lateMargin is the margin of requests that can't be in time, at a group where no
-	// request finds room and all could be in time. With 20% blocked it is 0.3 per slot. In
-	// replays, 0.3 left 0.39 of the responses late, and 4 refused more requests for none
-	// more in time.
+	// request finds room and all could be in time. With 20% blocked it is 0.3 per slot.
 	lateMargin = 1.5
 	// calmPressure is the part of requests without room up to which all but the margin for
 	// more urgent requests is as in groups without admission.
@@ -59,9 +56,8 @@
 	timeMargin = 0.3
 	// minServed bounds by how much refusals stretch the expected time to room.
 	minServed = 0.1
-	// minRoomRuns is the shortest expected time to room, in runs. It matters where waits are
-	// in vain: without it, 449 of 7,696 requests waited in vain in a replay at 0.8 of the
-	// slots whose upstreams had uneven loads, and 187 of 7,706 with it.
+	// minRoomRuns is the shortest expected time to room, in runs. It keeps
+	// requests from waiting in vain where the loads of upstreams are uneven.
 	minRoomRuns = 0.35
 	// minWaitSuccess bounds by how much waits in vain stretch the expected time to room.
 	minWaitSuccess = 0.1
@@ -293,9 +289,7 @@
 // timeToRoom returns the expected time until a candidate whose load per slot is above the
 // limit has room for the request: its load must fall, and the requests ahead go first. New
 // requests take room too: where half of a kind is served, one of it waits for about a run.
-// If many requests lately waited in vain, the time is longer. In replays, waits that took
-// only the load and those ahead into account were in vain for 2 of 3 requests, and twice as
-// many responses were late at 2.0 of the slots.
+// If many requests lately waited in vain, the time is longer.
 func (c Competition) timeToRoom(excess float64, run time.Duration) time.Duration {
 	d := time.Duration(max(excess, c.Unserved/max(1-c.Unserved, minServed), minRoomRuns) * float64(run))
 	if c.Ahead > 0 {
