Compute what a second send depends on once, and remove an unused method

Cause: with second sends on, each request had its hedgeRequest computed twice, which hashes the body while any crash is known. Controller.Enabled of fgadmission was called by nothing. Change: sendDirect passes the plan on. Behaviour is unchanged. Measured: the tests of second sends and of fgadmission's decisions and queue pass.

--- a/internal/coordination/fgadmission/controller.go
+++ b/internal/coordination/fgadmission/controller.go
@@ -92,15 +92,9 @@
 	}
 }
 
-// Enabled reports whether the Controller decides about the requests of a group: its
+// enabled reports whether the Controller decides about the requests of a group: its
 // upstreams tell their slowdown, or routes of different priority share it and
-// SetSharedGroups is on.
-func (c *Controller) Enabled(groupName string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.enabled(groupName, time.Now())
-}
-
+// SetSharedGroups is on. c.mu is held.
 func (c *Controller) enabled(groupName string, now time.Time) bool {
 	if c.sharedGroups && c.shared[groupName] {
 		return true
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -153,10 +153,11 @@
 	if !g.hedges.Enabled() {
 		return g.send(ctx, r, q, u)
 	}
-	if delay, ok := g.hedges.Plan(g.hedgeRequest(r, q, 1), time.Now()); ok {
-		return g.sendHedged(ctx, r, q, u, delay)
+	plan := g.hedgeRequest(r, q, 1)
+	if delay, ok := g.hedges.Plan(plan, time.Now()); ok {
+		return g.sendHedged(ctx, r, q, u, plan, delay)
 	}
-	return g.sendUnhedged(ctx, r, q, u)
+	return g.sendUnhedged(ctx, r, q, u, plan)
 }
 
 // statusCallerLeft is logged as the status if the caller disconnected before the
--- a/internal/fggateway/hedge.go
+++ b/internal/fggateway/hedge.go
@@ -31,10 +31,10 @@
 
 // sendUnhedged sends a request to one upstream without a second send, and records the
 // response time, from which later second sends follow.
-func (g *Gateway) sendUnhedged(ctx context.Context, r *http.Request, q *request, u *fgaffinity.Upstream) sendOutcome {
-	h, start := g.hedgeRequest(r, q, 1), time.Now()
+func (g *Gateway) sendUnhedged(ctx context.Context, r *http.Request, q *request, u *fgaffinity.Upstream, plan fghedge.Request) sendOutcome {
+	start := time.Now()
 	o := g.send(ctx, r, q, u)
-	g.recordHedgeTime(h, o.result, start)
+	g.recordHedgeTime(plan, o.result, start)
 	return o
 }
 
@@ -73,9 +73,9 @@
 
 // sendHedged sends a request to one upstream and, after the delay, to another one if the
 // limits allow it. The first whole response wins; the other send is reset.
-func (g *Gateway) sendHedged(ctx context.Context, r *http.Request, q *request, u *fgaffinity.Upstream, delay time.Duration) sendOutcome {
+func (g *Gateway) sendHedged(ctx context.Context, r *http.Request, q *request, u *fgaffinity.Upstream, plan fghedge.Request, delay time.Duration) sendOutcome {
 	h := &hedgedSend{
-		gateway: g, r: r, q: q, delay: delay, plan: g.hedgeRequest(r, q, 1),
+		gateway: g, r: r, q: q, delay: delay, plan: plan,
 		ended: make(chan *upstreamSend, 2), overdue: make(chan overdueResponse, 2),
 	}
 	h.first = h.start(ctx, u, q.header)
