Report a reset to the reader of a response, also if the write got it

Callers saw: a 200 without a length whose upstream reset the connection during a long upload arrived as a whole response with a part of its body.

Cause: the kernel reports a reset or a timeout of a connection once. fgpool writes long requests in the background. If that write gets the report, the next read returns the end of the data, which is the end of a response without a length. net/http's Transport, which the entry, the store clients and fgclient use, has the same race between its two goroutines.

Change: fgconn.Conn keeps the first error of a connection and returns it instead of io.EOF. At io.EOF it ends a write in progress, so that the result of that write is known.

Ruled out: to take a response as truncated whenever its request was not written completely. That would drop whole responses of upstreams that respond early and close in order.

--- /dev/null
+++ b/internal/fggateway/broken_test.go
@@ -0,0 +1,86 @@
+package fggateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/filbertgap/filbertgap/internal/fgstandin"
+	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
+)
+
+// uploadBytes does not fit into the buffers of a connection.
+const uploadBytes = 4 << 20
+
+// earlyEnv returns an environment with a gateway and one upstream, which responds to requests
+// while their bodies are being written.
+func earlyEnv(t *testing.T, end fgstandin.EarlyEnd, response string) *testGateway {
+	t.Helper()
+	env := newTestEnv(t)
+	env.policy.Limits.MaxBodyBytes = 2 * uploadBytes
+	env.putPolicy()
+	early, err := fgstandin.ListenEarly(end, func(h http.Header) string {
+		return strings.ReplaceAll(response, "ID", h.Get("T-Id"))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(early.Close)
+	env.put("up/u1", fgsteer.UpstreamSpec{ID: "u1", Group: "g", Address: early.Address(), Slots: 4, Region: "east"})
+	return env.gateway("vm-1", 1)
+}
+
+// upload sends a long request and reads the response to its end.
+func (r *testGateway) upload(t *testing.T) (status int, body string, err error) {
+	t.Helper()
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+r.settings.Self.CallerAddress+"/write/x", bytes.NewReader(make([]byte, uploadBytes)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Host = "h.example"
+	q.Header.Set("T-Id", "a1")
+	q.Header.Set("T-Key", "k")
+	res, err := http.DefaultTransport.RoundTrip(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(data), err
+}
+
+// Guards against a response that was reset while its request was being written and that a
+// caller gets as a whole one, and against a refusal of a request that may have run. The
+// operators reported the first case.
+func TestResponseDuringUpload(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nT-Id: ID\r\nT-Signed: s\r\n"
+	long := strings.Repeat("x", bufferedBytes+100)
+	tests := []struct {
+		name, response string
+		end            fgstandin.EarlyEnd
+		status         int
+		whole          bool
+	}{
+		{"no length, reset", head + "\r\npart", fgstandin.EndReset, http.StatusBadGateway, true},
+		{"no length, reset, HTTP/1.0", strings.Replace(head, "1.1", "1.0", 1) + "\r\npart", fgstandin.EndReset, http.StatusBadGateway, true},
+		{"no length, reset after the first bytes were passed on", head + "\r\n" + long, fgstandin.EndReset, http.StatusOK, false},
+		{"no length, in order", head + "\r\npart", fgstandin.EndInOrder, http.StatusOK, true},
+		{"length, reset", head + "Content-Length: 4\r\n\r\npart", fgstandin.EndReset, http.StatusOK, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := earlyEnv(t, tt.end, tt.response)
+			for range 30 {
+				status, body, err := g.upload(t)
+				if status != tt.status || (err == nil) != tt.whole {
+					t.Fatalf("got status %d, %d bytes, error %v", status, len(body), err)
+				}
+				if status != http.StatusOK && !strings.Contains(body, "truncated") {
+					t.Fatalf("got %q", body)
+				}
+			}
+		})
+	}
+}
--- a/internal/fgload/run.go
+++ b/internal/fgload/run.go
@@ -20,6 +20,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/conc"
 
+	"github.com/filbertgap/filbertgap/internal/transport/fgconn"
 	"github.com/filbertgap/filbertgap/pkg/fgclient"
 )
 
@@ -71,7 +72,7 @@
 			}
 		}
 	}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true}
+	transport := fgconn.NewTransport(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true})
 	out := map[string][]Doer{}
 	next := 0
 	for _, w := range m.Workspaces {
--- a/internal/transport/fgplatform/client.go
+++ b/internal/transport/fgplatform/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/filbertgap/filbertgap/internal/coordination/fgstore"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
+	"github.com/filbertgap/filbertgap/internal/transport/fgconn"
 )
 
 const (
@@ -55,7 +56,7 @@
 	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
 		return nil, fmt.Errorf("platform address is %q; accepted is http://HOST:PORT or https://HOST:PORT", baseURL)
 	}
-	return &Client{baseURL: u.Scheme + "://" + u.Host, client: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: fgheader.MaxResponseBytes}}}, nil
+	return &Client{baseURL: u.Scheme + "://" + u.Host, client: &http.Client{Transport: fgconn.NewTransport(&http.Transport{MaxResponseHeaderBytes: fgheader.MaxResponseBytes})}}, nil
 }
 
 // Get returns the value of a key.
--- a/internal/transport/fgpool/conn.go
+++ b/internal/transport/fgpool/conn.go
@@ -10,6 +10,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
+
+	"github.com/filbertgap/filbertgap/internal/transport/fgconn"
 )
 
 // readBufferBytes is large enough for a response header and most bodies.
@@ -28,6 +30,8 @@
 	used bool
 	// linger sets SO_LINGER. It is nil if the connection cannot be reset.
 	linger lingerer
+	// acknowledger is nil if the connection has a file descriptor.
+	acknowledger acknowledger
 	// notReset counts connections that should have been reset but could not be.
 	notReset *atomic.Int64
 	ended    atomic.Bool
@@ -66,8 +70,8 @@
 	if c.raw != nil {
 		controlErr := c.raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
 		err = errors.Join(err, controlErr)
-	} else if a, ok := c.Conn.(acknowledger); ok {
-		n, err = a.Unacknowledged()
+	} else if c.acknowledger != nil {
+		n, err = c.acknowledger.Unacknowledged()
 	}
 	if err != nil {
 		return 0
@@ -77,8 +81,10 @@
 
 // newConn returns a connection that reads through a headLimit.
 func newConn(c net.Conn) *conn {
-	head := &headLimit{conn: c}
-	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), notReset: new(atomic.Int64)}
+	whole := fgconn.New(c)
+	head := &headLimit{conn: whole}
+	a, _ := c.(acknowledger)
+	return &conn{Conn: whole, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), acknowledger: a, notReset: new(atomic.Int64)}
 }
 
 // headLimit limits how many bytes are read from a connection while the head of a
--- a/internal/transport/fgupstream/client.go
+++ b/internal/transport/fgupstream/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgrequest"
+	"github.com/filbertgap/filbertgap/internal/transport/fgconn"
 )
 
 const (
@@ -98,7 +99,7 @@
 				_ = c.Close()
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return &conn{Conn: fgconn.New(c)}, nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
--- a/internal/transport/fgupstream/conn.go
+++ b/internal/transport/fgupstream/conn.go
@@ -4,11 +4,13 @@
 	"net"
 	"sync"
 	"sync/atomic"
+
+	"github.com/filbertgap/filbertgap/internal/transport/fgconn"
 )
 
 // conn counts the bytes that the kernel accepted for sending.
 type conn struct {
-	net.Conn
+	*fgconn.Conn
 
 	closed  atomic.Bool
 	mu      sync.Mutex
--- a/internal/transport/fgupstream/socket_linux_test.go
+++ b/internal/transport/fgupstream/socket_linux_test.go
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	if got := readUserTimeout(t, c.(*conn).Conn.(*net.TCPConn)); got != 3*time.Second {
+	if got := readUserTimeout(t, c.(*conn).Conn.Conn.(*net.TCPConn)); got != 3*time.Second {
 		t.Errorf("TCP_USER_TIMEOUT = %v, want 3s", got)
 	}
 }
--- a/pkg/fgclient/endless_test.go
+++ b/pkg/fgclient/endless_test.go
@@ -1,11 +1,11 @@
 package fgclient
 
 import (
-	"net/http"
 	"testing"
 
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
 	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
+	"github.com/filbertgap/filbertgap/internal/transport/fgconn"
 )
 
 // Guards against a VM in trouble whose response never ends and is held in memory.
@@ -27,7 +27,7 @@
 				t.Fatal(err)
 			}
 			var dialer fgstandin.CountingDialer
-			c.client.Transport.(*http.Transport).DialContext = dialer.DialContext
+			c.client.Transport.(fgconn.Transport).DialContext = dialer.DialContext
 			if lookup, err := c.Lookup(t.Context()); err == nil {
 				t.Errorf("the look-up returned %d VMs", len(lookup.VMs))
 			}
--- a/pkg/fgclient/operator.go
+++ b/pkg/fgclient/operator.go
@@ -20,6 +20,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
+	"github.com/filbertgap/filbertgap/internal/transport/fgconn"
 	"github.com/filbertgap/filbertgap/pkg/fgapi"
 )
 
@@ -107,10 +108,10 @@
 
 // newTransport returns a transport that trusts the certificates in caFile, or the
 // host's if caFile is empty.
-func newTransport(caFile string) (*http.Transport, error) {
+func newTransport(caFile string) (http.RoundTripper, error) {
 	transport := &http.Transport{MaxResponseHeaderBytes: fgheader.MaxResponseBytes}
 	if caFile == "" {
-		return transport, nil
+		return fgconn.NewTransport(transport), nil
 	}
 	data, err := os.ReadFile(caFile)
 	if err != nil {
@@ -121,7 +122,7 @@
 		return nil, fmt.Errorf("%w: %s holds no certificate in PEM", ErrInvalid, caFile)
 	}
 	transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
-	return transport, nil
+	return fgconn.NewTransport(transport), nil
 }
 
 // Change is an atomic change of the configuration.
