Refuse responses with an invalid status line

Callers saw: a response with status 000 as an answer.

Cause: net/http accepts any three digits, also with a sign, and any version of one digit each. fgpool took whatever is below 200 for an interim response: it waited for another response until the deadline, or read the body of the 000 response as one. Status 101, which nobody asks for, had the same effect. Above 599 a status was passed on. The entry passed statuses below 100 to net/http, which panics and drops the caller's connection, and the callers' client returned them.

Change: fgheader.CheckResponse, called where a response is read: in fgpool and in fgconn.Transport, which the other clients use. What is valid is what RFC 9110, section 15, says: 100 to 599. The caller gets 502, "may have run", and idempotent requests are sent again.

Already handled: the clients of the stores, for which an unknown status is an unknown outcome.

--- a/internal/fggateway/broken_test.go
+++ b/internal/fggateway/broken_test.go
@@ -1,11 +1,14 @@
 package fggateway
 
 import (
+	"bufio"
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
@@ -84,3 +87,53 @@
 		})
 	}
 }
+
+// Guards against a response with an invalid head that reaches the caller in any form, that is
+// waited for, that counts as proof that the request did not run, or after which an idempotent
+// request is not sent again.
+func TestInvalidResponse(t *testing.T) {
+	const fields = "\r\nT-Id: ID\r\nT-Signed: s\r\n"
+	tests := []struct{ name, response string }{
+		{"status 000", "HTTP/1.1 000 None" + fields + "Content-Length: 3\r\n\r\nbad"},
+		{"status 000, HTTP/1.0", "HTTP/1.0 000 None" + fields + "\r\nbad"},
+		{"status 000 with a response as its body", "HTTP/1.1 000 None" + fields + "\r\nHTTP/1.1 200 OK" + fields + "Content-Length: 3\r\n\r\nbad"},
+		{"status 000 that refuses", "HTTP/1.1 000 None" + fields + "T-Not-Run: 1\r\nContent-Length: 3\r\n\r\nbad"},
+		{"status 999", "HTTP/1.1 999 None" + fields + "Content-Length: 3\r\n\r\nbad"},
+		{"status 101", "HTTP/1.1 101 Switching Protocols" + fields + "Upgrade: x\r\n\r\nbad"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			env := newTestEnv(t)
+			var sent counter
+			env.rawUpstream("u1", func(_ int, c net.Conn, r *bufio.Reader) {
+				for {
+					id, err := readRequest(r)
+					if err != nil {
+						return
+					}
+					sent.add()
+					_, _ = io.WriteString(c, strings.ReplaceAll(tt.response, "ID", id))
+				}
+			})
+			g := env.gateway("vm-1", 1)
+			start := time.Now()
+			res := g.mustCall(t, http.MethodPost, "/write/x")
+			if res.status != http.StatusBadGateway || !strings.Contains(res.body, "may have run") || res.header.Get("T-Signed") != "" {
+				t.Errorf("got %+v, want status 502 of the gateway", res)
+			}
+			if took := time.Since(start); took > 4*time.Second {
+				t.Errorf("the caller waited %s of its 5 s", took)
+			}
+			if n := sent.get(); n != 1 {
+				t.Errorf("a request that may run once was sent %d times", n)
+			}
+			env.upstream("u2", respond)
+			env.eventually("the second upstream is known", func() bool { return len(g.mirror.View().Upstreams("g")) == 2 })
+			for range 10 {
+				if res := g.mustCall(t, http.MethodGet, "/read/x"); res.status != http.StatusOK || res.body != "fine" {
+					t.Errorf("an idempotent request got %+v", res)
+				}
+			}
+		})
+	}
+}
--- a/internal/transport/fgconn/transport.go
+++ b/internal/transport/fgconn/transport.go
@@ -4,12 +4,28 @@
 	"context"
 	"net"
 	"net/http"
+
+	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
 )
 
-// Transport is an http.Transport whose connections are Conns.
-type Transport struct{ *http.Transport }
+// Transport is an http.RoundTripper that returns an error instead of a response whose head is
+// not valid.
+type Transport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := t.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := fgheader.CheckResponse(res); err != nil {
+		_ = res.Body.Close()
+		return nil, err
+	}
+	return res, nil
+}
 
-// NewTransport returns a Transport that uses t, whose DialContext it replaces. t must not be
+// NewTransport returns a Transport that uses t, whose connections become Conns. t must not be
 // used otherwise.
 func NewTransport(t *http.Transport) Transport {
 	dial := t.DialContext
@@ -25,5 +41,5 @@
 		}
 		return New(c), nil
 	}
-	return Transport{t}
+	return Transport{RoundTripper: t}
 }
--- a/internal/transport/fgpool/exchange.go
+++ b/internal/transport/fgpool/exchange.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/filbertgap/filbertgap/internal/protocol/fgheader"
 )
 
 const (
@@ -239,6 +241,9 @@
 		if err != nil {
 			return rs.readError(err)
 		}
+		if err := fgheader.CheckResponse(res); err != nil {
+			return errors.Join(ErrNoResponse, ErrMalformed, err)
+		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/transport/fgupstream/client.go
+++ b/internal/transport/fgupstream/client.go
@@ -136,7 +136,7 @@
 	preventResend(outReq)
 	sendID := fgrequest.NewTraceID()
 	outReq.Header.Set(HeaderSendID, sendID)
-	res, err := c.transport.RoundTrip(outReq)
+	res, err := fgconn.Transport{RoundTripper: c.transport}.RoundTrip(outReq)
 	if err != nil {
 		return nil, sent.outcome(), err
 	}
--- a/internal/transport/fgupstream/client_test.go
+++ b/internal/transport/fgupstream/client_test.go
@@ -162,6 +162,9 @@
 		{"declared refusal", t.Context(), respondWith("HTTP/1.1 503 x\r\nRequest-Not-Run: true\r\nContent-Length: 0\r\n\r\n").address(), Refused},
 		{"503 without declaration", t.Context(), respondWith("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n").address(), Answered},
 		{"declaration on another status", t.Context(), respondWith("HTTP/1.1 500 x\r\nRequest-Not-Run: true\r\nContent-Length: 0\r\n\r\n").address(), Answered},
+		{"status 000", t.Context(), respondWith("HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n").address(), Lost},
+		{"status 000 with a refusal", t.Context(), respondWith("HTTP/1.1 000 x\r\nRequest-Not-Run: true\r\nContent-Length: 0\r\n\r\n").address(), Lost},
+		{"protocol that was not asked for", t.Context(), respondWith("HTTP/1.1 101 x\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n").address(), Lost},
 		{"truncated header", t.Context(), respondWith("HTTP/1.1 503 x\r\nRequest-Not-Run: true\r\n").address(), Lost},
 		{"truncated length", t.Context(), respondWith("HTTP/1.1 200 OK\r\nContent-Length: 1").address(), Lost},
 	}
--- a/pkg/fgclient/caller.go
+++ b/pkg/fgclient/caller.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"sync"
 	"time"
+
+	"github.com/filbertgap/filbertgap/internal/transport/fgconn"
 )
 
 // VM is one VM of a look-up response.
@@ -43,7 +45,8 @@
 	// CAFile is a PEM file with the trusted certificates. If it is empty, the
 	// host's certificates are trusted. It is ignored if Transport is set.
 	CAFile string
-	// Transport replaces the default transport.
+	// Transport replaces the default transport. Only the default one recognises a response
+	// without a length that was reset.
 	Transport http.RoundTripper
 }
 
@@ -68,6 +71,8 @@
 		if transport, err = newTransport(o.CAFile); err != nil {
 			return nil, err
 		}
+	} else {
+		transport = fgconn.Transport{RoundTripper: transport}
 	}
 	c := &Client{options: o, client: http.Client{Transport: transport}}
 	// A redirect is returned to the caller like any response of an upstream.
--- a/pkg/fgclient/endless_test.go
+++ b/pkg/fgclient/endless_test.go
@@ -1,6 +1,7 @@
 package fgclient
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
@@ -27,7 +28,7 @@
 				t.Fatal(err)
 			}
 			var dialer fgstandin.CountingDialer
-			c.client.Transport.(fgconn.Transport).DialContext = dialer.DialContext
+			c.client.Transport.(fgconn.Transport).RoundTripper.(*http.Transport).DialContext = dialer.DialContext
 			if lookup, err := c.Lookup(t.Context()); err == nil {
 				t.Errorf("the look-up returned %d VMs", len(lookup.VMs))
 			}
