Reset a response that is given up before its body is closed

Callers saw: an upstream whose bytes never end held the caller of a refusal for as long as it sent, at most to the deadline, and kept a core of the gateway busy meanwhile.

Cause: Response.Close closed the body first. Close of a body of net/http reads it to its end if it has a length or chunks. The connection was reset only afterwards. Change: a response that is not complete resets its connection first.

--- a/internal/fggateway/reports_test.go
+++ b/internal/fggateway/reports_test.go
@@ -142,10 +142,16 @@
 // caller until the deadline, against a caller who is told that the request has not
 // run, and against operators who cannot find the upstream.
 func TestEndlessResponseOfUpstream(t *testing.T) {
-	tests := []struct{ name, start, next string }{
-		{"head", "HTTP/1.1 200 OK\r\nT-Id: a1\r\n", "X: yyyy\r\n"},
-		{"no response", "", "garbage\x00"},
-		{"refusal that never ends", "HTTP/1.1 200 OK\r\nT-Id: a1\r\n\r\n", "x"},
+	tests := []struct {
+		name, start, next string
+		status            int
+	}{
+		{"head", "HTTP/1.1 200 OK\r\nT-Id: a1\r\n", "X: yyyy\r\n", http.StatusBadGateway},
+		{"no response", "", "garbage\x00", http.StatusBadGateway},
+		{"refusal that never ends", "HTTP/1.1 200 OK\r\nT-Id: a1\r\n\r\n", "x", http.StatusBadGateway},
+		{"refusal that never ends, in chunks", "HTTP/1.1 200 OK\r\nT-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n", http.StatusBadGateway},
+		{"refusal that never ends, with a length", "HTTP/1.1 200 OK\r\nT-Id: a1\r\nContent-Length: 999999999\r\n\r\n", "x", http.StatusBadGateway},
+		{"refusal that did not run and never ends", "HTTP/1.1 200 OK\r\nT-Id: a1\r\nT-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n", http.StatusServiceUnavailable},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -159,7 +165,7 @@
 			g := env.gateway("vm-1", 1)
 			start := time.Now()
 			res := g.mustCall(t, http.MethodPost, "/write/x", "T-Id", "a1")
-			if res.status != http.StatusBadGateway || !strings.Contains(res.body, "may have run") && !strings.Contains(res.body, "unsigned") {
+			if res.status != tt.status || tt.status == http.StatusBadGateway && !strings.Contains(res.body, "may have run") && !strings.Contains(res.body, "unsigned") {
 				t.Errorf("got %+v", res)
 			}
 			if took := time.Since(start); took > 4*time.Second {
--- a/internal/transport/fgpool/endless_test.go
+++ b/internal/transport/fgpool/endless_test.go
@@ -119,6 +119,31 @@
 	}
 }
 
+// Guards against reading on in a response that the caller has given up: Close of a body of
+// net/http reads it to its end, for as long as the upstream sends.
+func TestCloseDoesNotReadOn(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	tests := []struct{ name, start, next string }{
+		{"length", head + "Content-Length: 999999999\r\n\r\n", "x"},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n"},
+		{"no length", head + "\r\n", "x"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			endless, target := startEndless(t, tt.start, tt.next)
+			p := &Pool{}
+			res, err := p.Send(t.Context(), target, request("1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			res.Close(false, 0)
+			if n := endless.Taken(); n > maxTakenBytes {
+				t.Errorf("%d bytes were taken, want at most %d", n, maxTakenBytes)
+			}
+		})
+	}
+}
+
 // Guards against a limit that refuses a head within it, or accepts one above it.
 func TestMaxHeadBytes(t *testing.T) {
 	const limit = 8 << 10
--- a/internal/transport/fgpool/exchange.go
+++ b/internal/transport/fgpool/exchange.go
@@ -310,9 +310,13 @@
 // to its end, and the connection can carry another request. If the exchange is complete
 // and the connection cannot, it is closed. Otherwise, it is reset.
 func (rs *Response) Close(complete bool, idleTimeout time.Duration) {
-	_ = rs.Body.Close()
 	// The cancellation of the exchange must not reset the connection of the next one.
 	complete = rs.stop() && complete && rs.isWritten()
+	if !complete {
+		// Closing the body first would read it to its end.
+		rs.conn.end(false)
+	}
+	_ = rs.Body.Close()
 	rs.exchange.finish()
 	if !complete || rs.Response.Close || rs.ContentLength < -1 || rs.conn.reader.Buffered() > 0 || rs.isUnframed() {
 		rs.conn.end(complete)
