--- a/internal/transport/fggossip/compress_test.go
+++ b/internal/transport/fggossip/compress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -38,3 +39,48 @@
 		}
 	}
 }
+
+// Guards against a copy that is too large and is read up to the limit, as if the rest of the
+// store had been deleted, and against the memory that compressed data without end needs.
+func TestCompressedEntriesAreLimited(t *testing.T) {
+	// Encoded, an entry has 64 KB, so that the limit is at the end of an entry.
+	const entryBytes = 64 << 10
+	entries := func(n int) []*fgwire.StoreEntry {
+		const frame = 8
+		all := make([]*fgwire.StoreEntry, n)
+		for i := range all {
+			all[i] = &fgwire.StoreEntry{Value: make([]byte, entryBytes-frame)}
+		}
+		return all
+	}
+	if n := proto.Size(&fgwire.StoreAnswer{Entries: entries(1)}); n != entryBytes {
+		t.Fatalf("an entry has %d bytes, want %d", n, entryBytes)
+	}
+	tests := []struct {
+		name string
+		n    int
+		ok   bool
+	}{
+		{"at the limit", maxCopyBytes / entryBytes, true},
+		{"above the limit", maxCopyBytes/entryBytes + 1, false},
+		{"far above the limit", 4 * maxCopyBytes / entryBytes, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			data, err := CompressEntries(entries(tt.n))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			got, err := decompressEntries(data)
+			runtime.ReadMemStats(&after)
+			if (err == nil) != tt.ok || tt.ok && len(got) != tt.n {
+				t.Errorf("%d of %d entries were read, error %v", len(got), tt.n, err)
+			}
+			if n := after.TotalAlloc - before.TotalAlloc; n > 8*maxCopyBytes {
+				t.Errorf("%d bytes were allocated", n)
+			}
+		})
+	}
+}
