Answer a caller that stops within its body

Cause: the gateway removed the read deadline when reading the body had failed. net/http reads the rest of a body with a length before it sends a response, and waited without an end. Change: the deadline is removed only if the body was read. net/http sets another one for the next request. Already handled: bodies in chunks, and the entry, which leaves the deadline.

Measured: TestUnfinishedBodyIsRefused failed before in 1 of 3 cases (no response in 5 s). All callers get 408 at their deadline now.

--- a/internal/fggateway/body.go
+++ b/internal/fggateway/body.go
@@ -58,9 +58,12 @@
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(q.deadline)
 	body, err := g.receiveBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, &q.reserved)
-	// If the read deadline passed later, net/http would treat it as a disconnect of
-	// the caller.
-	_ = controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		// If the read deadline passed later, net/http would treat it as a disconnect of
+		// the caller. Without the rest of the body, the deadline stays: net/http reads on
+		// before it sends the response.
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/fggateway/body_test.go
+++ b/internal/fggateway/body_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 )
 
 // Guards against concurrent large bodies that exhaust a small VM's memory, and
@@ -131,3 +132,27 @@
 		}
 	}
 }
+
+// Guards against a caller that stops within its body and gets no response: net/http waits for
+// the rest before it sends one.
+func TestUnfinishedBodyIsRefused(t *testing.T) {
+	const head = "POST /write/x HTTP/1.1\r\nHost: h.example\r\nT-Id: a\r\nT-Key: k\r\nT-Patience: 300\r\n"
+	tests := []struct{ name, request string }{
+		{"length", head + "Content-Length: 4\r\n\r\nbo"},
+		{"chunk", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbo"},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n"},
+	}
+	env := newTestEnv(t)
+	env.upstream("u1", respond)
+	g := env.gateway("vm-1", 1)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := g.dialCaller(t)
+			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+			c.send(tt.request)
+			if res := c.response(); res.status != http.StatusRequestTimeout {
+				t.Errorf("got %+v, want status 408", res)
+			}
+		})
+	}
+}
--- a/internal/fggateway/gateway_test.go
+++ b/internal/fggateway/gateway_test.go
@@ -1,6 +1,7 @@
 package fggateway
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -300,6 +301,44 @@
 	return res
 }
 
+// rawCaller is a connection on which a caller sends a request in parts.
+type rawCaller struct {
+	t *testing.T
+	net.Conn
+}
+
+// dialCaller opens a connection to a gateway.
+func (r *testGateway) dialCaller(t *testing.T) rawCaller {
+	t.Helper()
+	c, err := net.Dial("tcp", r.settings.Self.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return rawCaller{t, c}
+}
+
+// send sends a part of a request.
+func (c rawCaller) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Error(err)
+	}
+}
+
+// response reads the response. The status is 0 if the connection ends without a whole one.
+func (c rawCaller) response() callResult {
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return callResult{body: err.Error()}
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return callResult{body: err.Error()}
+	}
+	return callResult{res.StatusCode, string(body), res.Header.Get("Retry-After"), res.Header}
+}
+
 // counter counts the requests of an upstream.
 type counter struct {
 	mu sync.Mutex
