Let a stop wait for requests that are being received

Seen in a test of planned stops: a request whose head was still arriving when a gateway closed its idle connections got no response, or status 400 if it was cut within the name of a field. Callers send no request again after a 400.

Cause: for net/http a connection is new or idle until a whole head was read. Connections.Stop ended the read on each such connection. Change: connections that Draining accepts note that bytes have arrived since the last response. Stop leaves these alone until its context ends. Under TLS the bytes may be a handshake, so that nothing changes there.

--- a/internal/transport/fglistener/connections.go
+++ b/internal/transport/fglistener/connections.go
@@ -45,6 +45,9 @@
 	if c.open == nil {
 		c.open = map[net.Conn]connState{}
 	}
+	if caller, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		caller.receiving.Store(false)
+	}
 	c.open[conn] = connState{state: state, since: time.Now()}
 }
 
@@ -59,14 +62,17 @@
 	})
 }
 
-// release ends the reads on connections that carry no request, which makes the server
-// close them. It returns the number of open connections. Closing such a connection
-// instead could cut off a request that the server has just read: a read deadline
-// fails only a read that has returned nothing.
+// release ends the reads on connections that carry no request, and on which none is
+// arriving, which makes the server close them. It returns the number of open connections.
+// Closing such a connection instead could cut off a request that the server has just read:
+// a read deadline fails only a read that has returned nothing.
 func (c *Connections) release() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.open {
+		if isReceiving(conn) {
+			continue
+		}
 		if s.state == http.StateIdle || s.state == http.StateNew && time.Since(s.since) > newConnWait {
 			_ = conn.SetReadDeadline(time.Unix(1, 0))
 		}
--- a/internal/transport/fglistener/draining.go
+++ b/internal/transport/fglistener/draining.go
@@ -49,10 +49,10 @@
 	for {
 		draining, ended := d.beginAccept()
 		if !ended {
-			c, err := d.TCPListener.Accept()
+			c, err := d.AcceptTCP()
 			if err == nil {
 				d.accepted.Add(1)
-				return c, nil
+				return &callerConn{TCPConn: c}, nil
 			}
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				return nil, err
--- a/internal/transport/fglistener/left.go
+++ b/internal/transport/fglistener/left.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -52,10 +52,7 @@
 // hasLeft reports whether the other side has closed a TCP connection. It returns false if
 // that is not known.
 func hasLeft(c net.Conn) bool {
-	if t, ok := c.(*tls.Conn); ok {
-		c = t.NetConn()
-	}
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := withoutTLS(c).(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/internal/transport/fglistener/reset.go
+++ b/internal/transport/fglistener/reset.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 )
@@ -29,10 +28,7 @@
 
 // resetOnClose makes the end of a connection a reset if it is TCP.
 func resetOnClose(c net.Conn) {
-	if t, ok := c.(*tls.Conn); ok {
-		c = t.NetConn()
-	}
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := withoutTLS(c).(interface{ SetLinger(sec int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 }
