Answer every request that a planned stop has taken

Callers saw (reported by other operators): in a planned stop, requests that came late in the grace period were passed on and cut without a response at its end, among them requests that may not be repeated.

Cause: a gateway serves connections that it accepted up to 3 s after the stop signal, and waits up to 1 s for the first request on each, and as long as it takes for the rest of a request. What was in flight 0.4 s before the end of the grace period was cut. An entry did the same at its drain timeout.

Change: after the first half of the grace period, at most 3 s, a request that has not been sent is refused with 503 and Retry-After if its deadline is after the end of the stop: other gateways take it at once. 0.5 s before the end of the grace period, requests without a response get one: 504 if they may have run, 503 if not, 408 if their body has not arrived. Responses that are being passed on have 0.1 s more. Such an end is no crash of the upstream and does not count against it. An entry answers the calls in flight, also forwarded ones, 0.1 s before its drain timeout.

Ruled out: to refuse all requests that may outlast the stop from its beginning. Nearly all of them end in time, and each refusal costs its caller another connection.

--- a/internal/fgentry/caller.go
+++ b/internal/fgentry/caller.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/filbertgap/filbertgap/internal/protocol/fgkey"
@@ -37,6 +38,9 @@
 	maxRequestIDBytes = 128
 )
 
+// errStopped means that a stop has ended a call.
+var errStopped = merry.Sentinel("the process stops")
+
 func (e *Entry) callerHandler() http.Handler {
 	r := httprouter.New()
 	r.HandleMethodNotAllowed = false
@@ -164,14 +168,16 @@
 }
 
 // callContext returns the context of a call. It ends at the call's deadline,
-// when the caller disconnects, or 2 s after the call's key is withdrawn or
-// expires.
+// when the caller disconnects, 2 s after the call's key is withdrawn or
+// expires, or at the end of a stop.
 func (e *Entry) callContext(r *http.Request, c *call) (context.Context, func()) {
 	timeout := c.route.Spec().Deadline.Value()
 	if ms, err := strconv.ParseInt(r.Header.Get(headerTimeout), 10, 32); err == nil && ms > 0 {
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
 	detached, cancelDetached := context.WithTimeout(context.WithoutCancel(r.Context()), timeout)
+	detached, endCall := context.WithCancelCause(detached)
+	detach := context.AfterFunc(e.callsEnded, func() { endCall(merry.Wrap(errStopped)) })
 	endTracking := func() {}
 	if c.key != nil {
 		detached, endTracking = e.trackKey(detached, c)
@@ -184,7 +190,9 @@
 	}
 	return ctx, func() {
 		stop()
+		detach()
 		cancel()
+		endCall(nil)
 		endTracking()
 		cancelDetached()
 	}
--- a/internal/fgentry/entry.go
+++ b/internal/fgentry/entry.go
@@ -37,6 +37,9 @@
 	readHeaderTimeout = 10 * time.Second
 	// maxHeaderBytes bounds the size of a caller's request header.
 	maxHeaderBytes = 64 << 10
+	// stopResponseTime is the time in which the responses of calls that a stop ends are
+	// written before the drain timeout.
+	stopResponseTime = 100 * time.Millisecond
 	// announceTimeout bounds how long a leaving process tries to inform its
 	// neighbours.
 	announceTimeout = time.Second
@@ -73,6 +76,9 @@
 	leaving       atomic.Bool
 	stopOnce      sync.Once
 	stopRequested chan struct{}
+	// callsEnded is done when calls in flight must get their responses.
+	callsEnded context.Context
+	endCalls   context.CancelFunc
 }
 
 type listeners struct {
@@ -98,6 +104,7 @@
 		pendingFetches: make(chan *fgwire.NodeState, fetchQueue),
 		stopRequested:  make(chan struct{}),
 	}
+	e.callsEnded, e.endCalls = context.WithCancel(context.Background())
 	e.peer = func(ctx context.Context, address string) fgwire.DRPCPeerClient {
 		return fgwire.NewDRPCPeerClient(e.dialer.RPC(ctx, address))
 	}
@@ -262,7 +269,7 @@
 
 // stop leaves the fleet without aborting requests. The VM is removed from
 // look-ups, serves callers with cached look-ups for the drain wait, and then
-// waits for the requests in flight, at most for the drain timeout. No step
+// waits for the requests in flight, which get a response by the drain timeout. No step
 // waits for the platform for longer than memberWriteTimeout.
 func (e *Entry) stop(ctx context.Context, caller *http.Server) {
 	e.logger.Info("entry is leaving the fleet", "vm", e.settings.raw.VM)
@@ -271,8 +278,11 @@
 	e.announceLeaving(ctx)
 	e.changeMembers(ctx, "leave-"+e.incarnation.String(), fgmember.BuildLeave(e.self()))
 	_ = fgtimer.Wait(ctx, e.settings.raw.DrainWait)
-	drain, cancel := context.WithTimeout(ctx, e.settings.raw.DrainTimeout)
+	timeout := e.settings.raw.DrainTimeout
+	drain, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	timer := time.AfterFunc(timeout-min(stopResponseTime, timeout/10), e.endCalls)
+	defer timer.Stop()
 	if queue := e.listeners.callerQueue; queue != nil {
 		if err := queue.Drain(drain); err != nil {
 			e.logger.Info("accepting the queued connections failed", "error", err.Error())
--- a/internal/fgentry/send.go
+++ b/internal/fgentry/send.go
@@ -210,6 +210,9 @@
 	if errors.Is(context.Cause(ctx), errKeyWithdrawn) {
 		return fgproblem.New(http.StatusUnauthorized, fgproblem.CodeKeyInvalid, "the key was withdrawn or expired while the request was running")
 	}
+	if errors.Is(context.Cause(ctx), errStopped) {
+		return fgproblem.New(http.StatusGatewayTimeout, fgproblem.CodeDeadline, "the process stopped before a response arrived")
+	}
 	return fgproblem.New(http.StatusGatewayTimeout, fgproblem.CodeDeadline, "the request's deadline passed, or its caller disconnected")
 }
 
--- a/internal/fgentry/send_test.go
+++ b/internal/fgentry/send_test.go
@@ -247,6 +247,40 @@
 	await(t, members.Changed, func() bool { _, ok := members.State().Member("vm-0"); return !ok })
 }
 
+// Guards against a stop that cuts requests without a response at the drain timeout: those of
+// callers, and those that a peer has forwarded.
+func TestStopAnswersRequestsInFlight(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.upstreams[0].SetBehavior(fgstandin.Behavior{Silent: true})
+	f.entries[0].settings.raw.DrainTimeout = time.Second
+	tests := []struct {
+		name   string
+		entry  int
+		method string
+		path   string
+		id     string
+	}{
+		{"not idempotent", 0, "POST", "/orders/own", f.id(0, "own")},
+		{"idempotent", 0, "GET", "/browse/own", ""},
+		{"forwarded", 1, "POST", "/orders/forwarded", f.id(0, "forwarded")},
+	}
+	responses := make([]chan response, len(tests))
+	for i, tt := range tests {
+		responses[i] = make(chan response, 1)
+		go func() { responses[i] <- f.send(t.Context(), tt.entry, tt.method, tt.path, tt.id, "") }()
+	}
+	if err := f.upstreams[0].AwaitRequests(t.Context(), len(tests)); err != nil {
+		t.Fatal(err)
+	}
+	f.stops[0]()
+	for i, tt := range tests {
+		if res := <-responses[i]; res.status != http.StatusGatewayTimeout || res.outcome != string(fgproblem.Unknown) {
+			t.Errorf("%s: got %v, want status 504 and an unknown outcome", tt.name, res)
+		}
+	}
+	f.upstreams[0].SetBehavior(fgstandin.Behavior{})
+}
+
 // Guards against refusing a frequently read page after one of its requests was
 // in flight at an upstream that crashed.
 func TestConcurrentSuspectsAreServed(t *testing.T) {
--- a/internal/fggateway/body.go
+++ b/internal/fggateway/body.go
@@ -1,6 +1,7 @@
 package fggateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -57,7 +58,11 @@
 	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(q.deadline)
+	detach := context.AfterFunc(g.stopping.ended, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
 	body, err := g.receiveBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, &q.reserved)
+	if !detach() && err == nil {
+		return q.stopRefusal()
+	}
 	if err == nil {
 		// If the read deadline passed later, net/http would treat it as a disconnect of
 		// the caller. Without the rest of the body, the deadline stays: net/http reads on
--- a/internal/fggateway/detour.go
+++ b/internal/fggateway/detour.go
@@ -170,7 +170,11 @@
 	if err != nil {
 		cancel()
 		q.mayHaveRun = true
-		return g.detourFailed(q, peer, fgaffinity.Lost, &refusal{status: http.StatusBadGateway, code: codeLost, reason: "the connection to the other gateway broke; the request may have run"}, err)
+		refused := &refusal{status: http.StatusBadGateway, code: codeLost, reason: "the connection to the other gateway broke; the request may have run"}
+		if errors.Is(err, errStopped) {
+			refused = q.stopRefusal()
+		}
+		return g.detourFailed(q, peer, fgaffinity.Lost, refused, err)
 	}
 	res := &upstreamResponse{Response: response, meta: g.dialect.ReadResponse(response.Response), cancel: cancel}
 	res.meta.IdleTimeout = q.view.Policy().Limits().IdleTimeout
--- a/internal/fggateway/forward.go
+++ b/internal/fggateway/forward.go
@@ -67,7 +67,7 @@
 // forward sends a request to upstreams, directly or through another gateway, until one
 // responds or no further retry is allowed.
 func (g *Gateway) forward(w http.ResponseWriter, r *http.Request, q *request) {
-	ctx, cancel := q.context(r)
+	ctx, cancel := g.sendContext(r, q)
 	defer cancel()
 	q.group = g.groups.Pick(q.route, q.affinityKey())
 	q.attempt = g.beginAdmission(q)
@@ -84,6 +84,10 @@
 			refused = q.lateRefusal()
 			break
 		}
+		if g.stopping.refuses(q) {
+			refused = q.stopRefusal()
+			break
+		}
 		chosen, err := g.chooseWay(r.Context(), q, next, unreached)
 		next = nil
 		if err != nil {
@@ -213,7 +217,7 @@
 func (g *Gateway) recordSendFailure(r *http.Request, q *request, u *fgaffinity.Upstream, start time.Time, abandoned bool, err error) fgaffinity.Result {
 	result := fgaffinity.Lost
 	switch {
-	case r.Context().Err() != nil:
+	case r.Context().Err() != nil, errors.Is(err, errStopped):
 		result = fgaffinity.Left
 	case abandoned, time.Until(q.deadline) <= 0:
 		result = fgaffinity.Silent
@@ -244,6 +248,8 @@
 	switch {
 	case abandoned, time.Until(q.deadline) <= 0:
 		return q.lateRefusal()
+	case errors.Is(err, errStopped):
+		return q.stopRefusal()
 	case errors.Is(err, fgpool.ErrMalformed):
 		return &refusal{status: http.StatusBadGateway, code: codeNotWhole, reason: "the upstream sent no valid response; the request may have run"}
 	case q.mayHaveRun:
@@ -305,6 +311,7 @@
 
 // deliver passes a response on to the caller.
 func (g *Gateway) deliver(w http.ResponseWriter, r *http.Request, q *request, res *upstreamResponse) {
+	q.outlastStop()
 	h := w.Header()
 	for field, values := range forwardedHeader(res.Header) {
 		h[field] = values
--- a/internal/fggateway/gateway.go
+++ b/internal/fggateway/gateway.go
@@ -28,7 +28,6 @@
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 	"github.com/filbertgap/filbertgap/internal/state/fgsuspect"
-	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
 	"github.com/filbertgap/filbertgap/internal/transport/fggossip"
 	"github.com/filbertgap/filbertgap/internal/transport/fglistener"
 	"github.com/filbertgap/filbertgap/internal/transport/fgpool"
@@ -41,11 +40,6 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 64 << 10
-	// acceptAfterStop is how long a stopping gateway still accepts requests, since
-	// callers use look-up responses for up to three times their time to live (TTL).
-	acceptAfterStop = 3 * time.Second
-	// stopMargin is the time between the last response and the platform's SIGKILL.
-	stopMargin = 400 * time.Millisecond
 	// incarnationRandomBits of an incarnation are random, the others are its start in
 	// milliseconds.
 	incarnationRandomBits = 20
@@ -144,6 +138,7 @@
 	sockets     sockets
 	bounds      atomic.Pointer[Bounds]
 	leaving     atomic.Bool
+	stopping    stopping
 	started     time.Time
 	steps       startSteps
 	copyLimit   copyLimit
@@ -196,6 +191,7 @@
 			Region: o.Settings.Self.Region, AvailabilityZone: o.Settings.Self.AvailabilityZone, VM: o.Settings.Self.VM,
 		}),
 	}
+	g.stopping.ended, g.stopping.end = context.WithCancel(context.Background())
 	g.limiter.SetSelf(o.Settings.Self.VM)
 	g.bodies.limit = o.Settings.MemoryBytes / bodyMemoryDivisor
 	g.admission.SetMaxBytes(g.bodies.limit / waitingMemoryDivisor)
@@ -400,24 +396,6 @@
 	return fgsteer.CallerLimits{}
 }
 
-// stop shuts the gateway down gracefully: the VM is removed from look-ups, still
-// serves callers that use an earlier look-up response, and closes each connection
-// after its next response.
-func (g *Gateway) stop(servers *callerServers, stopAnnouncing func()) {
-	start, grace := time.Now(), g.bounds.Load().Grace
-	g.logger.Info("gateway stopping", "vm", g.settings.Self.VM, "grace", grace.String())
-	g.leaving.Store(true)
-	g.admission.Stop()
-	stopAnnouncing()
-	_ = fgtimer.Wait(context.Background(), min(acceptAfterStop, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-stopMargin))
-	defer cancel()
-	if err := servers.Shutdown(ctx); err != nil {
-		g.logger.Info("requests still in flight at the end of the grace period", "error", err.Error())
-		_ = servers.Close()
-	}
-}
-
 // isReady reports whether the gateway should receive requests.
 func (g *Gateway) isReady() bool {
 	v := g.mirror.View()
--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -46,6 +46,8 @@
 	// mayHaveRun means that an upstream may have run the request.
 	mayHaveRun bool
 	sends      int
+	// outlastStop exempts the sends of the request from the end of a stop.
+	outlastStop func() bool
 	// detoured means that another gateway has sent the request. detours lists the gateways
 	// through which this one has.
 	detoured bool
@@ -80,6 +82,7 @@
 	codeCrashes     code = "crashes-upstreams"
 	codeNoMemory    code = "no-memory"
 	codePeerRefused code = "peer-refused"
+	codeStopped     code = "stopped"
 )
 
 // refusal is an error response that the gateway generates itself.
@@ -211,17 +214,6 @@
 	return out
 }
 
-// context returns the context of the request's sends. An idempotent request is
-// cancelled when its caller disconnects. Others continue once they are sent, since
-// the caller may rely on their effects.
-func (q *request) context(r *http.Request) (context.Context, context.CancelFunc) {
-	ctx := r.Context()
-	if !q.route.Idempotent {
-		ctx = context.WithoutCancel(ctx)
-	}
-	return context.WithDeadline(ctx, q.deadline)
-}
-
 // refundToken refunds the token of a request that no upstream can have run.
 func (g *Gateway) refundToken(q *request) {
 	if q.tokenTaken && !q.mayHaveRun {
--- a/internal/fggateway/send.go
+++ b/internal/fggateway/send.go
@@ -95,7 +95,7 @@
 	if !s.second {
 		g.recordAdmission(q, s.response, s.start)
 	}
-	if s.response.result == fgaffinity.Lost && r.Context().Err() == nil && time.Until(q.deadline) > 0 {
+	if s.response.result == fgaffinity.Lost && r.Context().Err() == nil && time.Until(q.deadline) > 0 && g.stopping.ended.Err() == nil {
 		// The upstream may have crashed within its response, unless the read was ended here.
 		g.checkForCrash(r, q, s.upstream, s.start)
 	}
