Read what callers have sent ahead before a leaving gateway closes

Cause: a leaving gateway closes a connection right after its response. The bytes of the next request are unread, so that the close is a reset, which drops what the caller's window has not taken yet. Change: CloseAfterResponse, which gateways and entries call while they leave, makes Close of the connection end the sent data, and read and drop what arrives until the caller closes, for 2 s at most. The end of the grace period still resets what is left.

--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -17,6 +17,7 @@
 	"github.com/filbertgap/filbertgap/internal/protocol/fgmessage"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 	"github.com/filbertgap/filbertgap/internal/state/fgtimer"
+	"github.com/filbertgap/filbertgap/internal/transport/fglistener"
 )
 
 // request is the state of a caller's request.
@@ -99,7 +100,7 @@
 	q := &request{Request: g.dialect.ReadRequest(r.Header), start: time.Now(), view: g.mirror.View()}
 	q.readDetour(r.Header)
 	if g.leaving.Load() {
-		w.Header().Set("Connection", "close")
+		fglistener.CloseAfterResponse(w, r)
 	}
 	defer func() { g.bodies.release(q.reserved) }()
 	g.awaitPolicy(r.Context(), q)
--- a/internal/transport/fglistener/conn.go
+++ b/internal/transport/fglistener/conn.go
@@ -2,16 +2,24 @@
 
 import (
 	"crypto/tls"
+	"io"
 	"net"
 	"sync/atomic"
+	"time"
 )
 
+// lingerTimeout is how long a connection lingers at most: a caller that reads slowly needs
+// that time to receive the end of its response.
+const lingerTimeout = 2 * time.Second
+
 // callerConn is a connection that Draining has accepted.
 type callerConn struct {
 	*net.TCPConn
 
 	// receiving means that bytes have arrived since the last response.
 	receiving atomic.Bool
+	// lingers means that Close drops what the caller sends until the caller has closed.
+	lingers atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -23,6 +31,15 @@
 	return n, err
 }
 
+// Close implements net.Conn. A further Close ends one that lingers.
+func (c *callerConn) Close() error {
+	if c.lingers.CompareAndSwap(true, false) && c.CloseWrite() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, _ = io.Copy(io.Discard, c.TCPConn)
+	}
+	return c.TCPConn.Close()
+}
+
 // isReceiving reports whether the beginning of a request has arrived on a connection that
 // carries none. It returns false if that is not known: under TLS, it may be a handshake.
 func isReceiving(c net.Conn) bool {
--- a/internal/transport/fglistener/connections.go
+++ b/internal/transport/fglistener/connections.go
@@ -56,7 +56,7 @@
 func (c *Connections) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c.stopping.Load() {
-			w.Header().Set("Connection", "close")
+			CloseAfterResponse(w, r)
 		}
 		h.ServeHTTP(w, r)
 	})
