Let a pass over the queue end before TestQueueOrder adds room

Cause: the test adds room at the moment at which the controller begins its next pass. The pass may have tried the most urgent request without room, and then tries the others with it. The order that the test asks for is that of one pass. Change: the test waits until the pass at that moment has ended. Its bounds and the order that it wants are as before.

--- a/internal/coordination/fgadmission/queue_test.go
+++ b/internal/coordination/fgadmission/queue_test.go
@@ -74,6 +74,8 @@
 		q.wait(t.Context(), "urgent", 0, 600*time.Millisecond)
 		q.wait(t.Context(), "sooner", 1, 300*time.Millisecond)
 		time.Sleep(minWakeInterval)
+		// A pass that finds no room may begin at this moment.
+		synctest.Wait()
 		start := time.Now()
 		q.add(4)
 		q.SendEnded("g")
