Keep the context of sends beside the request, and return no refused head

Cause: reading the change as a newcomer; the context of sends is not a part of the stop. Measured: the tests of fgpool pass.

--- a/internal/fggateway/request.go
+++ b/internal/fggateway/request.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/filbertgap/filbertgap/internal/coordination/fgadmission"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgaffinity"
 	"github.com/filbertgap/filbertgap/internal/coordination/fgpath"
@@ -215,6 +217,24 @@
 	return out
 }
 
+// sendContext returns the context of a request's sends. An idempotent request is cancelled when
+// its caller disconnects. Others continue once they are sent, since the caller may rely on
+// their effects. A stop ends the request, unless its response is being passed on.
+func (g *Gateway) sendContext(r *http.Request, q *request) (context.Context, context.CancelFunc) {
+	ctx := r.Context()
+	if !q.route.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	ctx, end := context.WithCancelCause(ctx)
+	q.outlastStop = context.AfterFunc(g.stopping.ended, func() { end(merry.Wrap(errStopped)) })
+	return ctx, func() {
+		q.outlastStop()
+		end(nil)
+		cancel()
+	}
+}
+
 // refundToken refunds the token of a request that no upstream can have run.
 func (g *Gateway) refundToken(q *request) {
 	if q.tokenTaken && !q.mayHaveRun {
--- a/internal/fggateway/stop.go
+++ b/internal/fggateway/stop.go
@@ -79,24 +79,6 @@
 	return !now.Before(t.end) || q.sends == 0 && now.After(t.accept) && q.deadline.After(t.end)
 }
 
-// sendContext returns the context of a request's sends. An idempotent request is cancelled when
-// its caller disconnects. Others continue once they are sent, since the caller may rely on
-// their effects. A stop ends the request, unless its response is being passed on.
-func (g *Gateway) sendContext(r *http.Request, q *request) (context.Context, context.CancelFunc) {
-	ctx := r.Context()
-	if !q.route.Idempotent {
-		ctx = context.WithoutCancel(ctx)
-	}
-	ctx, cancel := context.WithDeadline(ctx, q.deadline)
-	ctx, end := context.WithCancelCause(ctx)
-	q.outlastStop = context.AfterFunc(g.stopping.ended, func() { end(merry.Wrap(errStopped)) })
-	return ctx, func() {
-		q.outlastStop()
-		end(nil)
-		cancel()
-	}
-}
-
 // stopRefusal returns the refusal for a request that a stop ends or does not send.
 func (q *request) stopRefusal() *refusal {
 	if q.mayHaveRun {
--- a/internal/transport/fgpool/exchange.go
+++ b/internal/transport/fgpool/exchange.go
@@ -270,8 +270,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := fgheader.CheckResponse(res); err != nil {
+		return nil, err
+	}
 	fgheader.CheckTrailer(res)
-	return res, fgheader.CheckResponse(res)
+	return res, nil
 }
 
 // readError returns the error of an exchange whose response could not be read. It
