Keep the end of a stop from resetting written responses

Seen while reading the change: a connection that lingers after its response is still active for net/http, so that the end of a stop reset it and truncated a response that was written before. Close of http.Server closes one connection after another, each of which could linger.

Change: Stop does not reset connections that are being closed, and prevents that any lingers when it closes the server.

--- a/internal/transport/fglistener/conn.go
+++ b/internal/transport/fglistener/conn.go
@@ -12,14 +12,25 @@
 // that time to receive the end of its response.
 const lingerTimeout = 2 * time.Second
 
+const (
+	// closeAtOnce closes the connection.
+	closeAtOnce = iota
+	// closeLingering first drops what the caller sends until the caller has closed.
+	closeLingering
+	// neverLinger is closeAtOnce, which does not change any more.
+	neverLinger
+)
+
 // callerConn is a connection that Draining has accepted.
 type callerConn struct {
 	*net.TCPConn
 
 	// receiving means that bytes have arrived since the last response.
 	receiving atomic.Bool
-	// lingers means that Close drops what the caller sends until the caller has closed.
-	lingers atomic.Bool
+	// linger is what Close does: one of the values above.
+	linger atomic.Int32
+	// closing means that Close was called.
+	closing atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -33,7 +44,8 @@
 
 // Close implements net.Conn. A further Close ends one that lingers.
 func (c *callerConn) Close() error {
-	if c.lingers.CompareAndSwap(true, false) && c.CloseWrite() == nil {
+	c.closing.Store(true)
+	if c.linger.Swap(neverLinger) == closeLingering && c.CloseWrite() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
 		_, _ = io.Copy(io.Discard, c.TCPConn)
 	}
@@ -47,6 +59,12 @@
 	return ok && caller.receiving.Load()
 }
 
+// isClosing reports whether the server is closing a connection, after its last response.
+func isClosing(c net.Conn) bool {
+	caller, ok := withoutTLS(c).(*callerConn)
+	return ok && caller.closing.Load()
+}
+
 // withoutTLS returns the connection under TLS, or c itself.
 func withoutTLS(c net.Conn) net.Conn {
 	if t, ok := c.(*tls.Conn); ok {
--- a/internal/transport/fglistener/connections.go
+++ b/internal/transport/fglistener/connections.go
@@ -98,12 +98,15 @@
 }
 
 // resetActive makes the end of connections with unfinished requests a reset: the part of
-// a response that is in transit must not arrive as a whole one.
+// a response that is in transit must not arrive as a whole one. On a connection that is being
+// closed, the response is finished.
 func (c *Connections) resetActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.open {
-		if s.state == http.StateActive {
+		// Close of http.Server closes one connection after another.
+		preventLinger(conn)
+		if s.state == http.StateActive && !isClosing(conn) {
 			resetOnClose(conn)
 		}
 	}
--- a/internal/transport/fglistener/reset.go
+++ b/internal/transport/fglistener/reset.go
@@ -28,15 +28,19 @@
 
 // resetOnClose makes the end of a connection a reset if it is TCP.
 func resetOnClose(c net.Conn) {
-	c = withoutTLS(c)
-	if caller, ok := c.(*callerConn); ok {
-		caller.lingers.Store(false)
-	}
-	if tcp, ok := c.(interface{ SetLinger(sec int) error }); ok {
+	preventLinger(c)
+	if tcp, ok := withoutTLS(c).(interface{ SetLinger(sec int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 }
 
+// preventLinger makes Close of a connection return at once.
+func preventLinger(c net.Conn) {
+	if caller, ok := withoutTLS(c).(*callerConn); ok {
+		caller.linger.Store(neverLinger)
+	}
+}
+
 // CloseAfterResponse makes the server close the connection after the response to a request.
 // What the caller has sent ahead is read and dropped until the caller closes the connection,
 // since a close with unread data is a reset, which can truncate the response. The server needs
@@ -45,6 +49,6 @@
 	w.Header().Set("Connection", "close")
 	c, _ := r.Context().Value(connKey{}).(net.Conn)
 	if caller, ok := withoutTLS(c).(*callerConn); ok {
-		caller.lingers.Store(true)
+		caller.linger.CompareAndSwap(closeAtOnce, closeLingering)
 	}
 }
