Test invalid responses of other gateways

Cause: a refusal of another gateway says that a request has not run, so that one that is not valid must not count. Change: four cases of TestDetourFails.

--- a/internal/fggateway/detour_test.go
+++ b/internal/fggateway/detour_test.go
@@ -285,8 +285,19 @@
 	}
 }
 
+// respondWith returns a function that sends a response to what it has read, and closes the
+// connection.
+func respondWith(response string) func(net.Conn) {
+	return func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = c.Write([]byte(response))
+		_ = c.Close()
+	}
+}
+
 // Guards against a non-idempotent request that is sent again because the connection to
-// the other gateway broke, and against one that fails because that gateway cannot be reached.
+// the other gateway broke or its response is not valid, and against one that fails because
+// that gateway cannot be reached.
 func TestDetourFails(t *testing.T) {
 	tests := []struct {
 		name string
@@ -304,6 +315,10 @@
 			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nT-Signed: yes\r\nContent-Le"))
 			_ = c.Close()
 		}, true, http.StatusBadGateway},
+		{"status 000", respondWith("HTTP/1.1 000 None\r\nT-Signed: yes\r\nContent-Length: 2\r\n\r\nno"), true, http.StatusBadGateway},
+		{"blank in a name", respondWith("HTTP/1.1 200 OK\r\nT-Signed: yes\r\nX : y\r\nContent-Length: 2\r\n\r\nno"), true, http.StatusBadGateway},
+		{"refusal with a blank in a name", respondWith("HTTP/1.1 503 Busy\r\nContent-Length : 2\r\n\r\nno"), true, http.StatusBadGateway},
+		{"refusal with a folded line", respondWith("HTTP/1.1 503 Busy\r\nX: y\r\n z\r\nContent-Length: 2\r\n\r\nno"), true, http.StatusBadGateway},
 		{"no process listens", nil, false, http.StatusOK},
 	}
 	for _, tt := range tests {
