--- a/internal/fggateway/detour_test.go
+++ b/internal/fggateway/detour_test.go
@@ -316,8 +316,8 @@
 			_ = c.Close()
 		}, true, http.StatusBadGateway},
 		{"status 000", respondWith("HTTP/1.1 000 None\r\nT-Signed: yes\r\nContent-Length: 2\r\n\r\nno"), true, http.StatusBadGateway},
-		{"blank in a name", respondWith("HTTP/1.1 200 OK\r\nT-Signed: yes\r\nX : y\r\nContent-Length: 2\r\n\r\nno"), true, http.StatusBadGateway},
-		{"refusal with a blank in a name", respondWith("HTTP/1.1 503 Busy\r\nContent-Length : 2\r\n\r\nno"), true, http.StatusBadGateway},
+		{"space in a name", respondWith("HTTP/1.1 200 OK\r\nT-Signed: yes\r\nX : y\r\nContent-Length: 2\r\n\r\nno"), true, http.StatusBadGateway},
+		{"refusal with a space in a name", respondWith("HTTP/1.1 503 Busy\r\nContent-Length : 2\r\n\r\nno"), true, http.StatusBadGateway},
 		{"refusal with a folded line", respondWith("HTTP/1.1 503 Busy\r\nX: y\r\n z\r\nContent-Length: 2\r\n\r\nno"), true, http.StatusBadGateway},
 		{"no process listens", nil, false, http.StatusOK},
 	}
--- a/internal/fggateway/stop.go
+++ b/internal/fggateway/stop.go
@@ -39,9 +39,9 @@
 
 // stopTimes are the times of a stop.
 type stopTimes struct {
-	// accept is how long all requests are sent. Later, only those are whose deadline is
-	// before end, when requests without a response are ended.
-	accept, end time.Time
+	// acceptUntil is how long all requests are sent. Later, only those are whose deadline is
+	// before endAt, when requests without a response are ended.
+	acceptUntil, endAt time.Time
 }
 
 // stop shuts the gateway down gracefully: the VM is removed from look-ups, still
@@ -52,12 +52,12 @@
 	start, grace := time.Now(), g.bounds.Load().Grace
 	g.logger.Info("gateway stopping", "vm", g.settings.Self.VM, "grace", grace.String())
 	accept, closeAt := min(acceptAfterStop, grace/2), start.Add(grace-stopMargin)
-	times := &stopTimes{accept: start.Add(accept), end: closeAt.Add(-stopResponseTime)}
+	times := &stopTimes{acceptUntil: start.Add(accept), endAt: closeAt.Add(-stopResponseTime)}
 	g.stopping.times.Store(times)
 	g.leaving.Store(true)
 	g.admission.Stop()
 	stopAnnouncing()
-	timer := time.AfterFunc(time.Until(times.end), g.stopping.end)
+	timer := time.AfterFunc(time.Until(times.endAt), g.stopping.end)
 	defer timer.Stop()
 	_ = fgtimer.Wait(context.Background(), accept)
 	ctx, cancel := context.WithDeadline(context.Background(), closeAt)
@@ -68,15 +68,16 @@
 	}
 }
 
-// refuses reports whether a request that was not sent must not be sent because of a stop:
-// it arrived late, and might get no response before the stop ends.
+// refuses reports whether a request must not be sent because of a stop: the stop has ended the
+// requests in flight, or the request has not been sent yet, is late, and might get no response
+// before that.
 func (s *stopping) refuses(q *request) bool {
 	t := s.times.Load()
 	if t == nil {
 		return false
 	}
 	now := time.Now()
-	return !now.Before(t.end) || q.sends == 0 && now.After(t.accept) && q.deadline.After(t.end)
+	return !now.Before(t.endAt) || q.sends == 0 && now.After(t.acceptUntil) && q.deadline.After(t.endAt)
 }
 
 // stopRefusal returns the refusal for a request that a stop ends or does not send.
--- a/internal/protocol/fgheader/response.go
+++ b/internal/protocol/fgheader/response.go
@@ -27,15 +27,15 @@
 	case res.StatusCode < minStatus || res.StatusCode > maxStatus || res.StatusCode == http.StatusSwitchingProtocols:
 		return fmt.Errorf("%w: status %q", ErrInvalid, res.Status)
 	case strings.ContainsFunc(res.Status, isControl):
-		return fmt.Errorf("%w: control byte in status %q", ErrInvalid, res.Status)
+		return fmt.Errorf("%w: control character in status %q", ErrInvalid, res.Status)
 	case !hasKnownVersion(res):
 		return fmt.Errorf("%w: version %q", ErrInvalid, res.Proto)
 	}
 	return CheckFields(res.Header)
 }
 
-// CheckFields returns an error that wraps ErrInvalid if the name of a field holds a blank or
-// a control byte. net/http takes such a field for one of another name.
+// CheckFields returns an error that wraps ErrInvalid if the name of a field contains whitespace
+// or a control character. net/http takes such a field for one of another name.
 func CheckFields(h http.Header) error {
 	for name := range h {
 		if strings.ContainsFunc(name, func(r rune) bool { return r == ' ' || r == '\t' || isControl(r) }) {
--- a/internal/protocol/fgheader/scanner.go
+++ b/internal/protocol/fgheader/scanner.go
@@ -6,9 +6,10 @@
 )
 
 // HeadScanner checks the head of a response while it is read, for what net/http accepts and
-// hides: a line that begins with a blank, which net/http appends to the one before, and a
-// transfer coding under HTTP/1.0, which it ignores. A length can be lost in the first, and
-// the second leaves the end of the body open. The zero value is ready for a status line.
+// hides: a folded line (RFC 9112, section 5.2), which net/http appends to the one before, and
+// a transfer coding under HTTP/1.0 (section 6.1), which it ignores. A length can be lost in
+// the first, and the second leaves the end of the body open. The zero value is ready for a
+// status line.
 type HeadScanner struct {
 	// line is the beginning of a line that has not ended. It is as long as its reader allows.
 	line []byte
@@ -57,7 +58,7 @@
 	case len(line) == 0:
 		s.inFields, s.ended = false, !s.interim
 	case line[0] == ' ' || line[0] == '\t':
-		return fmt.Errorf("%w: line begins with a blank: %.80q", ErrInvalid, line)
+		return fmt.Errorf("%w: folded line %.80q", ErrInvalid, line)
 	case s.http10 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		return fmt.Errorf("%w: transfer coding under HTTP/1.0", ErrInvalid)
 	}
--- a/internal/transport/fgconn/transport_test.go
+++ b/internal/transport/fgconn/transport_test.go
@@ -69,7 +69,7 @@
 		{"sign", "HTTP/1.1 +20 OK" + fields, false},
 		{"101, which was not asked for", "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nno", false},
 		{"600", "HTTP/1.1 600 None" + fields, false},
-		{"control byte in the reason", "HTTP/1.1 200 O\x01K" + fields, false},
+		{"control character in the reason", "HTTP/1.1 200 O\x01K" + fields, false},
 		{"HTTP/2.0 without TLS", "HTTP/2.0 200 OK" + fields, false},
 		{"200", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes", true},
 		{"599, HTTP/1.0", "HTTP/1.0 599 Broken\r\nContent-Length: 3\r\n\r\nyes", true},
@@ -89,14 +89,14 @@
 func TestInvalidFields(t *testing.T) {
 	const length = "Content-Length: 2\r\n\r\nno"
 	tests := []struct{ name, response string }{
-		{"blank before the colon", "HTTP/1.1 200 OK\r\nX : y\r\n" + length},
-		{"blank after a length", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length : 2\r\n\r\nno"},
-		{"blank before a length", "HTTP/1.1 200 OK\r\nConnection: close\r\nX: y\r\n Content-Length: 2\r\n\r\nno"},
+		{"space before the colon", "HTTP/1.1 200 OK\r\nX : y\r\n" + length},
+		{"space after a length", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length : 2\r\n\r\nno"},
+		{"space before a length", "HTTP/1.1 200 OK\r\nConnection: close\r\nX: y\r\n Content-Length: 2\r\n\r\nno"},
 		{"coding, HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"},
 		{"in an interim response", "HTTP/1.1 103 Early Hints\r\nX : y\r\n\r\nHTTP/1.1 200 OK\r\n" + length},
 		{"folded in an interim response", "HTTP/1.1 103 Early Hints\r\nX: y\r\n z\r\n\r\nHTTP/1.1 200 OK\r\n" + length},
 		{"after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX: y\r\n z\r\n" + length},
-		{"blank in a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nT : x\r\n\r\n"},
+		{"space in a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nT : x\r\n\r\n"},
 	}
 	for _, tt := range tests {
 		for _, kept := range []bool{false, true} {
--- a/internal/transport/fgpool/fields_test.go
+++ b/internal/transport/fgpool/fields_test.go
@@ -13,24 +13,24 @@
 // invalidFields are heads of which the end or the body of the response would be read otherwise
 // than it was sent.
 var invalidFields = []struct{ name, response string }{
-	{"blank before the colon", "HTTP/1.1 200 OK\r\nId: 1\r\nX : y\r\nContent-Length: 2\r\n\r\nno"},
-	{"blank after a length", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 2\r\n\r\nno"},
-	{"blank after a coding", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"},
-	{"blank in a name", "HTTP/1.1 200 OK\r\nId: 1\r\nX Y: z\r\nContent-Length: 2\r\n\r\nno"},
-	{"blank before a name", "HTTP/1.1 200 OK\r\nId: 1\r\nZ: z\r\n X: y\r\nContent-Length: 2\r\n\r\nno"},
-	{"blank before a length", "HTTP/1.1 200 OK\r\nId: 1\r\nZ: z\r\n Content-Length: 2\r\n\r\nno"},
-	{"blank before the first name", "HTTP/1.1 200 OK\r\n Id: 1\r\nContent-Length: 2\r\n\r\nno"},
+	{"space before the colon", "HTTP/1.1 200 OK\r\nId: 1\r\nX : y\r\nContent-Length: 2\r\n\r\nno"},
+	{"space after a length", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 2\r\n\r\nno"},
+	{"space after a coding", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"},
+	{"space in a name", "HTTP/1.1 200 OK\r\nId: 1\r\nX Y: z\r\nContent-Length: 2\r\n\r\nno"},
+	{"space before a name", "HTTP/1.1 200 OK\r\nId: 1\r\nZ: z\r\n X: y\r\nContent-Length: 2\r\n\r\nno"},
+	{"space before a length", "HTTP/1.1 200 OK\r\nId: 1\r\nZ: z\r\n Content-Length: 2\r\n\r\nno"},
+	{"space before the first name", "HTTP/1.1 200 OK\r\n Id: 1\r\nContent-Length: 2\r\n\r\nno"},
 	{"tab before a name", "HTTP/1.1 200 OK\r\nId: 1\r\nZ: z\r\n\tContent-Length: 2\r\n\r\nno"},
 	{"tab before the colon", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length\t: 2\r\n\r\nno"},
-	{"control byte in a name", "HTTP/1.1 200 OK\r\nId: 1\r\nX\x01Y: z\r\nContent-Length: 2\r\n\r\nno"},
-	{"control byte in a length", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-\x0bLength: 2\r\n\r\nno"},
+	{"control character in a name", "HTTP/1.1 200 OK\r\nId: 1\r\nX\x01Y: z\r\nContent-Length: 2\r\n\r\nno"},
+	{"control character in a length", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-\x0bLength: 2\r\n\r\nno"},
 	{"NUL", "HTTP/1.1 200 OK\r\nId: 1\r\nX\x00: z\r\nContent-Length: 2\r\n\r\nno"},
 	{"DEL", "HTTP/1.1 200 OK\r\nId: 1\r\nX\x7f: z\r\nContent-Length: 2\r\n\r\nno"},
 	{"carriage return in a name", "HTTP/1.1 200 OK\r\nId: 1\r\nX\rY: z\r\nContent-Length: 2\r\n\r\nno"},
 	{"no name", "HTTP/1.1 200 OK\r\nId: 1\r\n: z\r\nContent-Length: 2\r\n\r\nno"},
 	{"no colon", "HTTP/1.1 200 OK\r\nId: 1\r\nX\r\nContent-Length: 2\r\n\r\nno"},
-	{"control byte in a value", "HTTP/1.1 200 OK\r\nId: 1\r\nX: y\x00\r\nContent-Length: 2\r\n\r\nno"},
-	{"blank in a name, HTTP/1.0", "HTTP/1.0 200 OK\r\nId: 1\r\nContent-Length : 2\r\n\r\nno"},
+	{"control character in a value", "HTTP/1.1 200 OK\r\nId: 1\r\nX: y\x00\r\nContent-Length: 2\r\n\r\nno"},
+	{"space in a name, HTTP/1.0", "HTTP/1.0 200 OK\r\nId: 1\r\nContent-Length : 2\r\n\r\nno"},
 	{"coding, HTTP/1.0", "HTTP/1.0 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"},
 	{"coding and length, HTTP/1.0", "HTTP/1.0 200 OK\r\nId: 1\r\nContent-Length: 2\r\ntransfer-encoding: chunked\r\n\r\nno"},
 	{"in an interim response", "HTTP/1.1 103 Early Hints\r\nX : y\r\n\r\n" + encodeResponse("1", "no")},
@@ -38,9 +38,9 @@
 	{"after an interim response", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nX: y\r\n Content-Length: 2\r\n\r\nno"},
 	{"in a response to another request", "HTTP/1.1 200 OK\r\nId: 9\r\nX : y\r\nContent-Length: 2\r\n\r\nno" + encodeResponse("1", "no")},
 	{"after a response to another request", encodeResponse("9", "no") + "HTTP/1.1 200 OK\r\nId: 1\r\nX: y\r\n Content-Length: 2\r\n\r\nno"},
-	{"blank in a trailer", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nT : x\r\n\r\n"},
-	{"blank before a trailer", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n T: x\r\n\r\n"},
-	{"control byte in a trailer", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nT\x01: x\r\n\r\n"},
+	{"space in a trailer", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nT : x\r\n\r\n"},
+	{"space before a trailer", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n T: x\r\n\r\n"},
+	{"control character in a trailer", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nT\x01: x\r\n\r\n"},
 }
 
 // Guards against a response with an invalid field that is passed on, or whose body is read
@@ -90,7 +90,7 @@
 // Guards against a valid response that is refused.
 func TestValidFields(t *testing.T) {
 	tests := []struct{ name, response string }{
-		{"no blank after the colon", "HTTP/1.1 200 OK\r\nId:1\r\nContent-Length:3\r\n\r\nyes"},
+		{"no space after the colon", "HTTP/1.1 200 OK\r\nId:1\r\nContent-Length:3\r\n\r\nyes"},
 		{"tabs and bytes above 127 in a value", "HTTP/1.1 200 OK\r\nId: 1\r\nX:\ty\tz\xe9 \r\nContent-Length: 3\r\n\r\nyes"},
 		{"unusual name", "HTTP/1.1 200 OK\r\nId: 1\r\n!#$%&'*+-.^_`|~09: y\r\nContent-Length: 3\r\n\r\nyes"},
 		{"empty value", "HTTP/1.1 200 OK\r\nId: 1\r\nX:\r\nContent-Length: 3\r\n\r\nyes"},
--- a/internal/transport/fgpool/status_test.go
+++ b/internal/transport/fgpool/status_test.go
@@ -29,7 +29,7 @@
 		{"101, which was not asked for", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + encodeResponse("1", "no"), ErrMalformed},
 		{"600", "HTTP/1.1 600 None" + fields, ErrMalformed},
 		{"999", "HTTP/1.1 999 None" + fields, ErrMalformed},
-		{"control byte in the reason", "HTTP/1.1 200 O\x00K" + fields, ErrMalformed},
+		{"control character in the reason", "HTTP/1.1 200 O\x00K" + fields, ErrMalformed},
 		{"HTTP/2.0", "HTTP/2.0 200 OK" + fields, ErrMalformed},
 		{"HTTP/0.9", "HTTP/0.9 200 OK" + fields, ErrMalformed},
 		{"HTTP/1.2", "HTTP/1.2 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nyes", nil},
--- a/pkg/fgclient/invalid_test.go
+++ b/pkg/fgclient/invalid_test.go
@@ -17,9 +17,9 @@
 		{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}"},
 		{"status 101", "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n{}"},
 		{"status 999", "HTTP/1.1 999 None\r\nContent-Length: 2\r\n\r\n{}"},
-		{"blank before a colon", "HTTP/1.1 200 OK\r\nX : y\r\nContent-Length: 2\r\n\r\n{}"},
-		{"blank before a length", "HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 2\r\n\r\n{}"},
-		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01: y\r\nContent-Length: 2\r\n\r\n{}"},
+		{"space before a colon", "HTTP/1.1 200 OK\r\nX : y\r\nContent-Length: 2\r\n\r\n{}"},
+		{"space before a length", "HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 2\r\n\r\n{}"},
+		{"control character in a name", "HTTP/1.1 200 OK\r\nX\x01: y\r\nContent-Length: 2\r\n\r\n{}"},
 		{"coding, HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"},
 	}
 	for _, tt := range tests {
