Give the callers of the stop's test their connections early

Cause: a connection without a byte is closed 1 s after it was accepted, so that the late cases depended on when the test's machine ran them. Change: each caller sends its first byte early. The cases and what they want are as before.

--- a/internal/fggateway/stop_test.go
+++ b/internal/fggateway/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -31,23 +32,22 @@
 		status      int
 		sent        bool
 	}{
-		{"early, not idempotent", write + "NAME\r\nContent-Length: 0\r\n\r\n", "", early, early, http.StatusGatewayTimeout, true},
-		{"early, idempotent", read + "NAME\r\n\r\n", "", early, early, http.StatusGatewayTimeout, true},
-		{"late, not idempotent", write + "NAME\r\nContent-Length: 0\r\n\r\n", "", late, late, http.StatusServiceUnavailable, false},
-		{"late, idempotent", read + "NAME\r\n\r\n", "", late, late, http.StatusServiceUnavailable, false},
-		{"late, in time for its caller", write + "NAME\r\nT-Patience: 300\r\nContent-Length: 0\r\n\r\n", "", late, late, http.StatusGatewayTimeout, true},
-		{"late, answered at once", write + "fast\r\nT-Patience: 300\r\nContent-Length: 0\r\n\r\n", "", late, late, http.StatusOK, true},
-		{"slow head", write + "NAME\r\nContent-", "Length: 0\r\n\r\n", early, late, http.StatusServiceUnavailable, false},
-		{"slow body", write + "NAME\r\nContent-Length: 4\r\n\r\nbo", "dy", early, late, http.StatusServiceUnavailable, false},
-		{"body that never ends", write + "NAME\r\nContent-Length: 4\r\n\r\nbo", "", early, early, http.StatusRequestTimeout, false},
-		{"body in chunks that never ends", write + "NAME\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n", "", early, early, http.StatusRequestTimeout, false},
+		{"early, not idempotent", write + "ID\r\nContent-Length: 0\r\n\r\n", "", early, early, http.StatusGatewayTimeout, true},
+		{"early, idempotent", read + "ID\r\n\r\n", "", early, early, http.StatusGatewayTimeout, true},
+		{"late, not idempotent", write + "ID\r\nContent-Length: 0\r\n\r\n", "", late, late, http.StatusServiceUnavailable, false},
+		{"late, idempotent", read + "ID\r\n\r\n", "", late, late, http.StatusServiceUnavailable, false},
+		{"late, in time for its caller", write + "ID\r\nT-Patience: 300\r\nContent-Length: 0\r\n\r\n", "", late, late, http.StatusGatewayTimeout, true},
+		{"late, answered at once", write + "ID\r\nT-Fast: 1\r\nT-Patience: 300\r\nContent-Length: 0\r\n\r\n", "", late, late, http.StatusOK, true},
+		{"slow head", write + "ID\r\nContent-", "Length: 0\r\n\r\n", early, late, http.StatusServiceUnavailable, false},
+		{"slow body", write + "ID\r\nContent-Length: 4\r\n\r\nbo", "dy", early, late, http.StatusServiceUnavailable, false},
+		{"body that never ends", write + "ID\r\nContent-Length: 4\r\n\r\nbo", "", early, early, http.StatusRequestTimeout, false},
+		{"body in chunks that never ends", write + "ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n", "", early, early, http.StatusRequestTimeout, false},
 	}
 	env := newTestEnv(t)
 	arrived := make(chan string, 2*len(tests))
 	env.upstream("u1", func(rw http.ResponseWriter, r *http.Request) {
-		id := r.Header.Get("T-Id")
-		arrived <- id
-		if id == "fast" {
+		arrived <- r.Header.Get("T-Id")
+		if r.Header.Get("T-Fast") != "" {
 			respond(rw, r)
 			return
 		}
@@ -61,13 +61,14 @@
 	responses := make([]chan callResult, len(tests))
 	for i, tt := range tests {
 		responses[i] = make(chan callResult, 1)
-		name := strings.Replace(tt.name, " ", "-", -1)
 		go func() {
-			// The connection is accepted in the first half of the grace period.
-			time.Sleep(time.Until(start.Add(min(tt.at, 1800*time.Millisecond))))
+			// The connection is accepted in the first half of the grace period. The first byte
+			// keeps it open until the rest comes.
+			time.Sleep(time.Until(start.Add(early)))
 			c := g.dialCaller(t)
+			c.send(tt.first[:1])
 			time.Sleep(time.Until(start.Add(tt.at)))
-			c.send(strings.ReplaceAll(tt.first, "NAME", name))
+			c.send(strings.Replace(tt.first[1:], "ID", strconv.Itoa(i), 1))
 			time.Sleep(time.Until(start.Add(tt.restAt)))
 			c.send(tt.rest)
 			responses[i] <- c.response()
@@ -94,12 +95,8 @@
 			if res.status != tt.status {
 				t.Errorf("got %+v, want status %d", res, tt.status)
 			}
-			name := strings.Replace(tt.name, " ", "-", -1)
-			if strings.Contains(tt.first, "fast") {
-				name = "fast"
-			}
-			if sent[name] != tt.sent {
-				t.Errorf("passed on: %t, want %t", sent[name], tt.sent)
+			if got := sent[strconv.Itoa(i)]; got != tt.sent {
+				t.Errorf("passed on: %t, want %t", got, tt.sent)
 			}
 			if res.status == http.StatusServiceUnavailable && res.retryAfter == "" {
 				t.Error("the refusal has no Retry-After")
