--- a/internal/fgentry/send_test.go
+++ b/internal/fgentry/send_test.go
@@ -451,3 +451,34 @@
 		}
 	}
 }
+
+// Guards against a response with an invalid head that reaches a caller in any form, or ends its
+// connection.
+func TestInvalidResponse(t *testing.T) {
+	tests := []struct{ name, response string }{
+		{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 3\r\n\r\nbad"},
+		{"status 101", "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nbad"},
+		{"space in a name", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length : 3\r\n\r\nbad"},
+		{"folded line", "HTTP/1.1 200 OK\r\nX: y\r\n z\r\nContent-Length: 3\r\n\r\nbad"},
+		{"refusal with a space in a name", "HTTP/1.1 503 Busy\r\nRequest-Not-Run: true\r\nX : y\r\nContent-Length: 3\r\n\r\nbad"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			early, err := fgstandin.ListenEarly(fgstandin.KeepOpen, func(http.Header) string { return tt.response })
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer early.Close()
+			f := newFleet(t, 1, 1)
+			f.apply(t, fgconfig.Change{Put: []fgapi.Resource{
+				resource("up-0", &fgapi.UpstreamSpec{Address: early.Address(), Group: "all", Region: "west", AvailabilityZone: "west-a"}),
+			}})
+			if res := f.sendUntilServed(t, 0, "POST", "/orders/1", f.id(0, "x"), "kit"); res.status != http.StatusBadGateway || res.outcome != string(fgproblem.Unknown) {
+				t.Errorf("got %v, want status 502 and an unknown outcome", res)
+			}
+			if n := early.Requests(); n != 1 {
+				t.Errorf("the request was sent %d times", n)
+			}
+		})
+	}
+}
--- a/internal/fggateway/broken_test.go
+++ b/internal/fggateway/broken_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/filbertgap/filbertgap/internal/fgstandin"
+	"github.com/filbertgap/filbertgap/internal/protocol/fgwire"
 	"github.com/filbertgap/filbertgap/internal/state/fgsteer"
 )
 
@@ -151,3 +152,32 @@
 		})
 	}
 }
+
+// Guards against the first case of TestResponseDuringUpload on the way through another gateway.
+func TestDetourResponseDuringUpload(t *testing.T) {
+	env, gateways := strandedEnv(t, 1, 1, respond)
+	g := gateways[0]
+	env.policy.Version, env.policy.Limits.MaxBodyBytes = 2, 2*uploadBytes
+	env.putPolicy()
+	env.eventually("the limit is in force", func() bool { return g.mirror.View().Policy().Limits().MaxBodyBytes == 2*uploadBytes })
+	early, err := fgstandin.ListenEarly(fgstandin.EndReset, func(h http.Header) string {
+		return "HTTP/1.1 200 OK\r\nT-Id: " + h.Get("T-Id") + "\r\nT-Signed: s\r\n\r\npart"
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer early.Close()
+	env.put("member/vm-9", fgsteer.MemberSpec{VM: "vm-9", Region: "east", CallerAddress: early.Address(), PeerAddress: "127.0.0.1:1", Capacity: 1e12})
+	env.eventually("the other gateway is known", func() bool { return len(g.mirror.View().Members()) == 2 })
+	env.cut(g, linkResets)
+	before := early.Requests()
+	for n := range 12 {
+		g.applyState(&fgwire.GatewayState{Vm: "vm-9", Sequence: uint64(n + 1)}, "")
+		if status, body, err := g.upload(t); status != http.StatusBadGateway || err != nil {
+			t.Fatalf("got status %d, %q, error %v", status, body, err)
+		}
+	}
+	if n := early.Requests() - before; n < 12 {
+		t.Errorf("%d of 12 requests went through the other gateway", n)
+	}
+}
